Serve a chat request end to end over the agreed seams

The first path through everything: a caller's request is authenticated, hashed into a chain of prefix blocks, placed by rendezvous hashing, run on an engine and streamed back in order, over stand-ins of the engines and the platform.

--- /dev/null
+++ b/internal/entry/chat/answer.go
@@ -0,0 +1,87 @@
+package chat
+
+import (
+	"encoding/json"
+	"strings"
+)
+
+// Answer collects the chunks of a streamed answer into one whole answer.
+type Answer struct {
+	id      string
+	model   string
+	created int64
+	text    strings.Builder
+	finish  string
+	usage   json.RawMessage
+}
+
+type chunk struct {
+	ID      string          `json:"id"`
+	Model   string          `json:"model"`
+	Created int64           `json:"created"`
+	Choices []chunkChoice   `json:"choices"`
+	Usage   json.RawMessage `json:"usage"`
+}
+
+type chunkChoice struct {
+	Delta        delta   `json:"delta"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type delta struct {
+	Content string `json:"content"`
+}
+
+type whole struct {
+	ID      string          `json:"id"`
+	Object  string          `json:"object"`
+	Created int64           `json:"created"`
+	Model   string          `json:"model"`
+	Choices []wholeChoice   `json:"choices"`
+	Usage   json.RawMessage `json:"usage,omitempty"`
+}
+
+type wholeChoice struct {
+	Index        int          `json:"index"`
+	Message      wholeMessage `json:"message"`
+	FinishReason string       `json:"finish_reason"`
+}
+
+type wholeMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Add takes the JSON of the next chunk.
+func (a *Answer) Add(data []byte) error {
+	var c chunk
+	if err := json.Unmarshal(data, &c); err != nil {
+		return &ParseError{Problem: "the engine sent a chunk that is not JSON: " + err.Error()}
+	}
+	a.id, a.model, a.created = c.ID, c.Model, c.Created
+	for _, choice := range c.Choices {
+		a.text.WriteString(choice.Delta.Content)
+		if choice.FinishReason != nil {
+			a.finish = *choice.FinishReason
+		}
+	}
+	if len(c.Usage) > 0 && string(c.Usage) != "null" {
+		a.usage = c.Usage
+	}
+	return nil
+}
+
+// Text returns the answer's text so far.
+func (a *Answer) Text() string { return a.text.String() }
+
+// Encode returns the whole answer in the protocol's form without streaming.
+func (a *Answer) Encode() ([]byte, error) {
+	return json.Marshal(whole{
+		ID: a.id, Object: "chat.completion", Created: a.created, Model: a.model,
+		Choices: []wholeChoice{{
+			Message:      wholeMessage{Role: "assistant", Content: a.Text()},
+			FinishReason: a.finish,
+		}},
+		Usage: a.usage,
+	})
+}
--- /dev/null
+++ b/internal/entry/front/front.go
@@ -0,0 +1,155 @@
+// Package front is where callers' requests enter: it checks who calls, reads
+// the request and writes the answer.
+package front
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/cicadamill/cicadamill/internal/config/site"
+	"github.com/cicadamill/cicadamill/internal/entry/auth"
+	"github.com/cicadamill/cicadamill/internal/entry/chat"
+	"github.com/cicadamill/cicadamill/internal/entry/fault"
+	"github.com/cicadamill/cicadamill/internal/route/chain"
+	"github.com/cicadamill/cicadamill/internal/route/job"
+	"github.com/cicadamill/cicadamill/internal/safety/effect"
+	"github.com/cicadamill/cicadamill/internal/target/engine"
+)
+
+const maxBodyBytes = 8 << 20
+
+// Runner answers a request; events reach sink in order.
+type Runner interface {
+	Run(ctx context.Context, j job.Job, sink func(engine.Event) error) error
+}
+
+// Handler serves callers.
+type Handler struct {
+	node   string
+	config func() site.Config
+	runner Runner
+	mux    *http.ServeMux
+}
+
+// New returns a handler. The function config returns the configuration in force.
+//
+//	handler := front.New("node-1", applied.Config, runner)
+func New(node string, config func() site.Config, runner Runner) *Handler {
+	h := &Handler{node: node, config: config, runner: runner, mux: http.NewServeMux()}
+	h.mux.HandleFunc("POST /v1/chat/completions", h.serveChat)
+	h.mux.HandleFunc("GET /v1/models", h.serveModels)
+	return h
+}
+
+// ServeHTTP implements [http.Handler].
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.mux.ServeHTTP(w, r) }
+
+func (h *Handler) serveChat(w http.ResponseWriter, r *http.Request) {
+	config := h.config()
+	workspace, ok := auth.New(config).Workspace(r.Header)
+	if !ok {
+		fault.Write(w, unauthorized())
+		return
+	}
+	request, err := readChat(w, r)
+	if err != nil {
+		fault.Write(w, err)
+		return
+	}
+	j, err := newJob(config, workspace, request)
+	if err != nil {
+		fault.Write(w, err)
+		return
+	}
+	w.Header().Set("X-Request-Id", j.ID)
+	w.Header().Set("X-Cicadamill-Node", h.node)
+	if request.Stream {
+		h.stream(w, r, j)
+		return
+	}
+	h.whole(w, r, j)
+}
+
+func readChat(w http.ResponseWriter, r *http.Request) (chat.Request, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return chat.Request{}, &fault.Error{Code: "bodyTooLarge", Status: http.StatusRequestEntityTooLarge, Outcome: effect.NotRun{}, Message: "the body is larger than " + strconv.Itoa(maxBodyBytes) + " bytes"}
+	}
+	if err != nil {
+		return chat.Request{}, &fault.Error{Code: "bodyUnread", Status: http.StatusBadRequest, Outcome: effect.NotRun{}, Message: "the body could not be read"}
+	}
+	request, err := chat.Parse(body)
+	if err != nil {
+		return chat.Request{}, &fault.Error{Code: "badRequest", Status: http.StatusBadRequest, Outcome: effect.NotRun{}, Message: err.Error()}
+	}
+	return request, nil
+}
+
+func newJob(config site.Config, workspace site.Workspace, request chat.Request) (job.Job, error) {
+	application, ok := findApplication(config, workspace, request.Model)
+	if !ok {
+		return job.Job{}, &fault.Error{Code: "unknownApplication", Status: http.StatusNotFound, Outcome: effect.NotRun{}, Message: "this workspace has no application " + strconv.Quote(request.Model)}
+	}
+	model := findModel(config, application.Model)
+	seed := chain.Seed{Workspace: workspace.Name, Model: model.Name, Adapter: application.Adapter, WeightVersion: model.WeightVersion}
+	return job.Job{
+		ID: rand.Text(), Workspace: workspace.Name, Class: workspace.Class, Share: workspace.Share,
+		Application: application.Name, Model: model.Name, Adapter: application.Adapter, WeightVersion: model.WeightVersion,
+		Blocks: chain.Hash(seed, request.Prompt, model.BlockTokens), BlockTokens: model.BlockTokens,
+		PromptTokens: chain.Tokens(request.Prompt), MaxTokens: request.MaxTokens,
+		Fingerprint: xxh3.HashSeed(request.Prompt, xxh3.HashString(workspace.Name)), Body: request.Body,
+	}, nil
+}
+
+func findApplication(config site.Config, workspace site.Workspace, name string) (site.Application, bool) {
+	if !slices.Contains(workspace.Applications, name) {
+		return site.Application{}, false
+	}
+	at := slices.IndexFunc(config.Applications, func(a site.Application) bool { return a.Name == name })
+	if at < 0 {
+		return site.Application{}, false
+	}
+	return config.Applications[at], true
+}
+
+func findModel(config site.Config, name string) site.Model {
+	at := slices.IndexFunc(config.Models, func(m site.Model) bool { return m.Name == name })
+	if at < 0 {
+		return site.Model{}
+	}
+	return config.Models[at]
+}
+
+func (h *Handler) serveModels(w http.ResponseWriter, r *http.Request) {
+	workspace, ok := auth.New(h.config()).Workspace(r.Header)
+	if !ok {
+		fault.Write(w, unauthorized())
+		return
+	}
+	type entry struct {
+		ID     string `json:"id"`
+		Object string `json:"object"`
+	}
+	list := struct {
+		Object string  `json:"object"`
+		Data   []entry `json:"data"`
+	}{Object: "list"}
+	for _, name := range workspace.Applications {
+		list.Data = append(list.Data, entry{ID: name, Object: "model"})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list)
+}
+
+func unauthorized() error {
+	return &fault.Error{Code: "unauthorized", Status: http.StatusUnauthorized, Outcome: effect.NotRun{}, Message: "send a key of your workspace as a bearer token"}
+}
--- /dev/null
+++ b/internal/node/server/server.go
@@ -0,0 +1,167 @@
+// Package server assembles one node: its listeners, its cell and the parts that
+// keep it informed, all under one supervisor.
+package server
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/cicadamill/cicadamill/internal/config/live"
+	"github.com/cicadamill/cicadamill/internal/config/local"
+	"github.com/cicadamill/cicadamill/internal/config/site"
+	"github.com/cicadamill/cicadamill/internal/entry/front"
+	"github.com/cicadamill/cicadamill/internal/node/flow"
+	"github.com/cicadamill/cicadamill/internal/node/loop"
+	"github.com/cicadamill/cicadamill/internal/route/cell"
+	"github.com/cicadamill/cicadamill/internal/target/engine"
+	"github.com/cicadamill/cicadamill/internal/target/remote"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute
+	maxHeader     = 64 << 10
+	drainTimeout  = 30 * time.Second
+)
+
+// Server is one node.
+type Server struct {
+	settings local.Settings
+	logger   hclog.Logger
+	applied  *live.Applied
+	loop     *loop.Loop
+	clients  sync.Map
+	http     *http.Client
+	ready    chan Addresses
+}
+
+// Addresses are where a running node listens.
+type Addresses struct {
+	// Caller is the address for callers, as IP number and port.
+	Caller string
+}
+
+// New returns a node that is not running yet.
+//
+//	node := server.New(settings, logger)
+//	err := node.Serve(ctx)
+func New(settings local.Settings, logger hclog.Logger) *Server {
+	s := &Server{
+		settings: settings,
+		logger:   logger,
+		applied:  live.New(),
+		ready:    make(chan Addresses, 1),
+		http:     &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: idleTimeout}},
+	}
+	s.loop = loop.New(s.fetch)
+	return s
+}
+
+// Ready returns a channel that gets the node's addresses once it serves.
+func (s *Server) Ready() <-chan Addresses { return s.ready }
+
+// Apply puts a configuration in force if it is newer.
+func (s *Server) Apply(ctx context.Context, number uint64, text []byte) error {
+	config, err := site.Parse(text)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if !s.applied.Apply(number, text, config) {
+		return nil
+	}
+	s.logger.Info("configuration applied", "version", number)
+	return s.loop.Send(ctx, cell.Targets{All: targets(config)})
+}
+
+// Serve runs the node until the context ends.
+func (s *Server) Serve(ctx context.Context) error {
+	if err := s.Apply(ctx, 0, s.settings.Bootstrap); err != nil {
+		return errors.Annotate(err, "applying the bootstrap configuration")
+	}
+	handler := front.New(s.settings.Name, s.applied.Config, flow.New(s.loop, s.dial))
+	listener, err := net.Listen("tcp", s.settings.CallerAddress)
+	if err != nil {
+		return errors.Annotate(err, "opening the callers' listener")
+	}
+	supervisor := suture.New(s.settings.Name, suture.Spec{EventHook: s.supervised})
+	supervisor.Add(s.loop)
+	stopped := supervisor.ServeBackground(ctx)
+	s.ready <- Addresses{Caller: listener.Addr().String()}
+	return s.serveHTTP(ctx, listener, handler, stopped)
+}
+
+func (s *Server) serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler, stopped <-chan error) error {
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+	}
+	ended := make(chan error, 1)
+	go func(context.Context) { ended <- server.Serve(listener) }(ctx)
+	select {
+	case err := <-ended:
+		return errors.Annotate(err, "serving callers")
+	case <-ctx.Done():
+	}
+	drain, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	defer cancel()
+	err := server.Shutdown(drain)
+	<-ended
+	<-stopped
+	return errors.Annotate(err, "draining")
+}
+
+func (s *Server) supervised(event suture.Event) {
+	s.logger.Warn("supervised part", "event", event.String())
+}
+
+func (s *Server) dial(target string) (engine.Client, bool) {
+	for _, e := range s.applied.Config().Engines {
+		if e.Name != target {
+			continue
+		}
+		client, _ := s.clients.LoadOrStore(e.Address, remote.New(e.Address, s.http))
+		return client.(engine.Client), true
+	}
+	return nil, false
+}
+
+func (s *Server) fetch(ctx context.Context, target string) {
+	client, ok := s.dial(target)
+	if !ok {
+		return
+	}
+	go func(ctx context.Context) {
+		snapshot, err := client.Snapshot(ctx)
+		if err == nil {
+			_ = s.loop.Send(ctx, cell.Snapshot{Target: target, Snapshot: snapshot})
+		}
+	}(ctx)
+}
+
+// targets lists the engines of a configuration as the cell knows them.
+func targets(config site.Config) []cell.Target {
+	applications := map[string][]string{}
+	for _, application := range config.Applications {
+		for _, name := range application.Engines {
+			applications[name] = append(applications[name], application.Name)
+		}
+	}
+	all := make([]cell.Target, 0, len(config.Engines))
+	for _, e := range config.Engines {
+		capacity := e.Capacity
+		if capacity == 0 {
+			capacity = 1
+		}
+		all = append(all, cell.Target{
+			Name: e.Name, DataCentre: e.DataCentre, Model: e.Model, Applications: applications[e.Name],
+			Capacity: capacity, CacheBlocks: e.CacheBlocks,
+		})
+	}
+	return all
+}
--- /dev/null
+++ b/internal/platform/object/object.go
@@ -0,0 +1,38 @@
+// Package object is the seam to the platform's object store.
+package object
+
+import (
+	"context"
+	"fmt"
+)
+
+// Client reads and writes whole objects. It is safe for concurrent use.
+//
+//	err := client.Put(ctx, "answers/1f3c", body)
+type Client interface {
+	// Put stores an object, replacing any of the same key.
+	Put(ctx context.Context, key string, value []byte) error
+	// Get returns an object, or a [*MissingError].
+	Get(ctx context.Context, key string) ([]byte, error)
+	// Delete removes an object; one that does not exist is no error.
+	Delete(ctx context.Context, key string) error
+}
+
+// MissingError means that there is no object of this key.
+type MissingError struct {
+	// Key is the key that was asked for.
+	Key string
+}
+
+// Error returns a text for logs.
+func (e *MissingError) Error() string { return fmt.Sprintf("object store: no object %q", e.Key) }
+
+// OutageError means that the store gave no usable reply; a write may have
+// taken effect.
+type OutageError struct {
+	// Message is a text for people.
+	Message string
+}
+
+// Error returns a text for logs.
+func (e *OutageError) Error() string { return "object store: no reply: " + e.Message }
