--- a/cmd/cicadamill/main.go
+++ b/cmd/cicadamill/main.go
@@ -23,7 +23,8 @@
 }
 
 type args struct {
-	Serve *serveArgs `arg:"subcommand:serve" help:"run a node"`
+	Serve   *serveArgs   `arg:"subcommand:serve" help:"run a node"`
+	Measure *measureArgs `arg:"subcommand:measure" help:"measure routing decisions in virtual time"`
 }
 
 func main() {
@@ -31,15 +32,24 @@
 	defer stop()
 	var a args
 	parser := arg.MustParse(&a)
-	if a.Serve == nil {
-		parser.Fail("name a command: serve")
-	}
-	if err := serve(ctx, *a.Serve); err != nil {
+	if err := run(ctx, a, parser); err != nil {
 		fmt.Fprintln(os.Stderr, "cicadamill:", err)
 		os.Exit(1)
 	}
 }
 
+func run(ctx context.Context, a args, parser *arg.Parser) error {
+	switch {
+	case a.Serve != nil:
+		return serve(ctx, *a.Serve)
+	case a.Measure != nil:
+		return measure(ctx, *a.Measure)
+	default:
+		parser.Fail("name a command: serve or measure")
+		return nil
+	}
+}
+
 func serve(ctx context.Context, a serveArgs) error {
 	logger := hclog.New(&hclog.LoggerOptions{Name: "cicadamill", Level: hclog.Info})
 	if !a.Embedded {
--- /dev/null
+++ b/internal/tool/paint/paint.go
@@ -0,0 +1,73 @@
+// Package paint shows measured runs as a table, as JSON and as a plot.
+package paint
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/juju/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/cicadamill/cicadamill/internal/tool/bench"
+)
+
+const (
+	plotWidth  = 20 * vg.Centimeter
+	plotHeight = 12 * vg.Centimeter
+)
+
+// Table writes one line a run.
+//
+//	err := paint.Table(os.Stdout, rows)
+func Table(w io.Writer, rows []bench.Row) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(t, "site\tload\tpolicy\thit\tceiling\tp50 ms\tp95 ms\tp99 ms\trecomputed\tgood\toffered\trefusals\tfairness\t")
+	for _, row := range rows {
+		r := row.Result
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%.3f\t%.3f\t%.0f\t%.0f\t%.0f\t%d\t%d\t%d\t%d\t%.3f\t\n",
+			row.Site, row.Load, row.Policy, r.HitRate, r.Ceiling, r.P50, r.P95, r.P99, r.RecomputedTokens,
+			r.Good, r.Offered, r.Refusals, r.Fairness)
+	}
+	return errors.Annotate(t.Flush(), "writing the table")
+}
+
+// JSON writes all figures.
+func JSON(w io.Writer, rows []bench.Row) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return errors.Annotate(encoder.Encode(rows), "writing the figures")
+}
+
+// Plot writes the tail of the time to first token by second of one load, as
+// SVG, one line a policy.
+func Plot(w io.Writer, rows []bench.Row, site, load string) error {
+	p := plot.New()
+	p.Title.Text = site + ", " + load
+	p.X.Label.Text = "second of arrival"
+	p.Y.Label.Text = "slowest first token (ms)"
+	var lines []any
+	for _, row := range rows {
+		if row.Site != site || row.Load != load {
+			continue
+		}
+		points := make(plotter.XYs, len(row.Result.Tail))
+		for i, millis := range row.Result.Tail {
+			points[i] = plotter.XY{X: float64(i), Y: millis}
+		}
+		lines = append(lines, row.Policy, points)
+	}
+	if err := plotutil.AddLines(p, lines...); err != nil {
+		return errors.Annotate(err, "drawing the plot")
+	}
+	canvas, err := p.WriterTo(plotWidth, plotHeight, "svg")
+	if err != nil {
+		return errors.Annotate(err, "drawing the plot")
+	}
+	_, err = canvas.WriteTo(w)
+	return errors.Annotate(err, "writing the plot")
+}
