Give each command its own file and exit code

The command line was one file with one command. Each command is now a type with Run in a file of its own; a failure chooses its exit code by an error type, so that scripts can branch on it. Adding a command is one file and one field in args.

--- a/cmd/cicadamill/main.go
+++ b/cmd/cicadamill/main.go
@@ -3,71 +3,111 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/alexflint/go-arg"
-	"github.com/hashicorp/go-hclog"
+)
 
-	"github.com/cicadamill/cicadamill/internal/config/local"
-	"github.com/cicadamill/cicadamill/internal/node/server"
-	"github.com/cicadamill/cicadamill/internal/standin/embed"
+// The exit codes of the command line.
+const (
+	exitOK       = 0
+	exitFailure  = 1
+	exitUsage    = 2
+	exitInvalid  = 3
+	exitConflict = 4
+	exitUnknown  = 5
 )
 
-type serveArgs struct {
-	Embedded bool   `arg:"--embedded" help:"run with stand-ins of the platform, engines and a service in this process"`
-	Settings string `arg:"--settings" help:"file with this node's settings" placeholder:"FILE"`
-	Listen   string `arg:"--listen" default:"127.0.0.1:8080" help:"address for callers, as IP number and port" placeholder:"ADDRESS"`
+// args holds one field for each command; its type lies in the command's file.
+type args struct {
+	Serve   *serveCommand   `arg:"subcommand:serve" help:"run a node"`
+	Version *versionCommand `arg:"subcommand:version" help:"print the version"`
 }
 
-type args struct {
-	Serve *serveArgs `arg:"subcommand:serve" help:"run a node"`
+// command is what each command's type implements.
+type command interface {
+	// Run does the work and prints results to out. An error that has an
+	// [exitError] in its chain sets the exit code.
+	Run(ctx context.Context, out io.Writer) error
+}
+
+// exitError carries the exit code of a failure.
+type exitError struct {
+	Code int
+	Err  error
+}
+
+// Error returns the text for the operator.
+func (e *exitError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *exitError) Unwrap() error { return e.Err }
+
+// Description is shown at the head of the help.
+func (args) Description() string {
+	return "cicadamill routes language-model traffic with long shared prompts.\n"
+}
+
+// Epilogue is shown at the foot of the help.
+func (args) Epilogue() string {
+	return `Examples:
+  cicadamill serve --embedded
+  cicadamill serve --settings node.jsonc
+
+Exit codes: 0 done, 1 failed, 2 wrong usage, 3 a text has errors, 4 someone
+else changed the configuration first, 5 not known whether it took effect.`
 }
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	var a args
-	parser := arg.MustParse(&a)
-	if a.Serve == nil {
-		parser.Fail("name a command: serve")
-	}
-	if err := serve(ctx, *a.Serve); err != nil {
-		fmt.Fprintln(os.Stderr, "cicadamill:", err)
-		os.Exit(1)
-	}
+	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
 }
 
-func serve(ctx context.Context, a serveArgs) error {
-	logger := hclog.New(&hclog.LoggerOptions{Name: "cicadamill", Level: hclog.Info})
-	if !a.Embedded {
-		text, err := os.ReadFile(a.Settings)
-		if err != nil {
-			return err
-		}
-		settings, err := local.Parse(text)
-		if err != nil {
-			return err
-		}
-		return server.New(settings, logger).Serve(ctx)
-	}
-	site, _, err := embed.New(ctx)
+// run executes one command line and returns the exit code.
+func run(ctx context.Context, line []string, out, errOut io.Writer) int {
+	var a args
+	parser, err := arg.NewParser(arg.Config{Program: "cicadamill", Out: errOut}, &a)
 	if err != nil {
-		return err
+		_, _ = fmt.Fprintln(errOut, "cicadamill:", err)
+		return exitFailure
 	}
-	settings := local.Settings{
-		Name: "node-1", DataCentre: "local", CallerAddress: a.Listen, TableAddress: site.TableAddress,
-		ObjectAddress: site.ObjectAddress, HostsAddress: site.HostsAddress, Bootstrap: site.Config,
+	err = parser.Parse(line)
+	switch {
+	case errors.Is(err, arg.ErrHelp):
+		_ = parser.WriteHelpForSubcommand(out, parser.SubcommandNames()...)
+		return exitOK
+	case err != nil:
+		return usage(parser, errOut, err)
 	}
-	fmt.Print(hint(a.Listen))
-	return server.New(settings, logger).Serve(ctx)
+	chosen, ok := parser.Subcommand().(command)
+	if !ok {
+		return usage(parser, errOut, errors.New("name a command"))
+	}
+	return report(errOut, chosen.Run(ctx, out))
+}
+
+func usage(parser *arg.Parser, errOut io.Writer, err error) int {
+	_ = parser.WriteUsageForSubcommand(errOut, parser.SubcommandNames()...)
+	_, _ = fmt.Fprintln(errOut, "cicadamill:", err)
+	return exitUsage
 }
 
-func hint(address string) string {
-	return fmt.Sprintf(`Try:
-  curl -N http://%s/v1/chat/completions -H "Authorization: Bearer %s" \
-    -d '{"model":"assistant","stream":true,"messages":[{"role":"user","content":"What do posts cost?"}]}'
-`, address, embed.MembersKey)
+// report prints a failure and returns its exit code.
+func report(errOut io.Writer, err error) int {
+	if err == nil {
+		return exitOK
+	}
+	_, _ = fmt.Fprintln(errOut, "cicadamill:", err)
+	var exit *exitError
+	if errors.As(err, &exit) {
+		return exit.Code
+	}
+	return exitFailure
 }
