Count and time chat requests, and open a listener for operators

A node showed nothing of itself. tally now reports to Prometheus through its own reporter; /metrics, /healthz, /readyz and the optional profiler lie on an operators' listener apart from the callers'. Chat requests get histograms per workspace and class (time to first token, between tokens, in all) and counters of prompt, cached and recomputed tokens; refusals are counted by code.

Labels are bounded: the workspaces with the largest shares get one, all others are "other", and over the life of a process at most twice the limit is given out, since a scrape page never shrinks. Weighed against hashing workspaces into buckets, which would mix large customers with small ones.

Shown by: TestLabelsStayBounded (2,600 workspaces, 500 rankings, 65 labels), internal/watch/calls, TestListenersAreApart.

--- a/internal/config/local/local.go
+++ b/internal/config/local/local.go
@@ -30,6 +30,8 @@
 	ObjectAddress string `json:"objectAddress"`
 	// HostsAddress is the platform's host list.
 	HostsAddress string `json:"hostsAddress"`
+	// Pprof opens the profiler on the operators' listener.
+	Pprof bool `json:"pprof,omitempty"`
 	// Bootstrap is the configuration to start with when nothing else answers.
 	Bootstrap json.RawMessage `json:"bootstrap,omitempty"`
 }
--- a/internal/entry/fault/fault.go
+++ b/internal/entry/fault/fault.go
@@ -13,6 +13,9 @@
 	"github.com/cicadamill/cicadamill/internal/safety/effect"
 )
 
+// CodeHeader names the header that carries the code of a failure.
+const CodeHeader = "X-Cicadamill-Code"
+
 // Error is a failure as a caller is told of it.
 //
 //	return &fault.Error{Code: "noEngine", Status: 503, Outcome: effect.NotRun{}, RetryAfter: time.Second}
@@ -70,6 +73,7 @@
 func Write(w http.ResponseWriter, err error) {
 	e := From(err)
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(CodeHeader, e.Code)
 	if e.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(seconds(e.RetryAfter)))
 	}
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -40,12 +40,15 @@
 	clients  sync.Map
 	http     *http.Client
 	ready    chan Addresses
+	watch    watch
 }
 
 // Addresses are where a running node listens.
 type Addresses struct {
 	// Caller is the address for callers, as IP number and port.
 	Caller string
+	// Operator is the address for operators; empty without a listener.
+	Operator string
 }
 
 // New returns a node that is not running yet.
@@ -60,6 +63,7 @@
 		ready:    make(chan Addresses, 1),
 		http:     &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: idleTimeout}},
 	}
+	s.watch = newWatch(logger)
 	s.loop = loop.New(s.fetch)
 	return s
 }
@@ -77,6 +81,7 @@
 		return nil
 	}
 	s.logger.Info("configuration applied", "version", number)
+	s.watch.rank(config)
 	return s.loop.Send(ctx, cell.Targets{All: targets(config)})
 }
 
@@ -85,15 +90,24 @@
 	if err := s.Apply(ctx, 0, s.settings.Bootstrap); err != nil {
 		return errors.Annotate(err, "applying the bootstrap configuration")
 	}
-	handler := front.New(s.settings.Name, s.applied.Config, flow.New(s.loop, s.dial))
+	operators, err := s.openOperators()
+	if err != nil {
+		return err
+	}
+	handler := s.watch.callers(front.New(s.settings.Name, s.applied.Config, s.watch.runner(flow.New(s.loop, s.dial))))
 	listener, err := net.Listen("tcp", s.settings.CallerAddress)
 	if err != nil {
 		return errors.Annotate(err, "opening the callers' listener")
 	}
 	supervisor := suture.New(s.settings.Name, suture.Spec{EventHook: s.supervised})
 	supervisor.Add(s.loop)
+	if operators != nil {
+		supervisor.Add(operators)
+	}
 	stopped := supervisor.ServeBackground(ctx)
-	s.ready <- Addresses{Caller: listener.Addr().String()}
+	defer func() { _ = s.watch.meter.Close() }()
+	s.watch.health.SetReady(true)
+	s.ready <- Addresses{Caller: listener.Addr().String(), Operator: operators.address()}
 	return s.serveHTTP(ctx, listener, handler, stopped)
 }
 
