Recognise requests that crash engines

A request that crashes the engine that runs it is sent again by its caller and takes down one engine after another. The slice charges what was in flight on an engine that died, runs suspects alone and convicts only a suspect that was alone, so that two crashes suffice and no neighbour is refused.

Ways weighed: counting crashes for each request without running suspects alone refuses an innocent request that stood beside two crashes; blaming by intersection of crashes needs a third crash to tell a fresh request from an old suspect.

--- /dev/null
+++ b/internal/safety/crash/crash_test.go
@@ -0,0 +1,200 @@
+package crash_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"github.com/cicadamill/cicadamill/internal/safety/crash"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+// after applies messages at one time and returns the last commands.
+func after(s crash.State, messages ...crash.Message) (crash.State, []crash.Command) {
+	var commands []crash.Command
+	for _, message := range messages {
+		s, commands = s.Update(epoch, message)
+	}
+	return s, commands
+}
+
+func TestUpdate(t *testing.T) {
+	together := []crash.Message{
+		crash.Place{Job: "p", Fingerprint: 1, Target: "a"},
+		crash.Place{Job: "i", Fingerprint: 2, Target: "a"},
+		crash.Died{Job: "i", Target: "a"},
+	}
+	alone := append(together[:3:3], crash.Place{Job: "p2", Fingerprint: 1, Target: "b"})
+	tests := map[string]struct {
+		before []crash.Message
+		last   crash.Message
+		want   []crash.Command
+		counts []int
+	}{
+		"first run":                       {last: together[0], want: []crash.Command{crash.Go{Job: "p"}}, counts: []int{0, 0}},
+		"all in flight are suspects":      {before: together[:2], last: together[2], counts: []int{1, 1}},
+		"second word of one death":        {before: alone, last: crash.Died{Job: "p", Target: "a"}, counts: []int{1, 1}},
+		"suspect runs alone":              {before: together, last: alone[3], want: []crash.Command{crash.Go{Job: "p2", Alone: true}}, counts: []int{1, 1}},
+		"no company for a suspect":        {before: alone, last: crash.Place{Job: "x", Fingerprint: 3, Target: "b"}, want: []crash.Command{crash.Move{Job: "x"}}, counts: []int{1, 1}},
+		"convicted when alone":            {before: alone, last: crash.Died{Job: "p2", Target: "b"}, counts: []int{2, 1}},
+		"silence convicts none":           {before: alone, last: crash.Died{Job: "p2", Target: "b", Silent: true}, counts: []int{1, 1}},
+		"other incarnation":               {before: append(together[:2:2], crash.Seen{Target: "a", Incarnation: "1"}), last: crash.Seen{Target: "a", Incarnation: "2"}, counts: []int{1, 1}},
+		"first of a new incarnation":      {before: append(together[:1:1], crash.Seen{Target: "a", Incarnation: "1"}, together[1]), last: crash.Seen{Target: "a", Incarnation: "2", Job: "i"}, counts: []int{1, 0}},
+		"cleared when finished":           {before: alone, last: crash.Left{Job: "p2", Fingerprint: 1, Target: "b", Finished: true}, counts: []int{0, 1}},
+		"not cleared by a caller leaving": {before: alone, last: crash.Left{Job: "p2", Fingerprint: 1, Target: "b"}, counts: []int{1, 1}},
+		"convicted is refused": {
+			before: append(alone[:4:4], crash.Died{Job: "p2", Target: "b"}), last: crash.Place{Job: "p3", Fingerprint: 1, Target: "c"},
+			want: []crash.Command{crash.Refuse{Job: "p3"}}, counts: []int{2, 1},
+		},
+		"suspect waits for an empty engine": {
+			before: append(together[:3:3], crash.Place{Job: "x", Fingerprint: 3, Target: "b"}), last: alone[3], counts: []int{1, 1},
+		},
+		"waiting suspect starts": {
+			before: append(together[:3:3], crash.Place{Job: "x", Fingerprint: 3, Target: "b"}, alone[3]), last: crash.Left{Job: "x", Target: "b"},
+			want: []crash.Command{crash.Go{Job: "p2", Alone: true}}, counts: []int{1, 1},
+		},
+		"one engine in four is kept": {
+			before: alone, last: crash.Place{Job: "i2", Fingerprint: 2, Target: "c"}, counts: []int{1, 1},
+		},
+		"peer convicts": {last: crash.Heard{Entries: []crash.Entry{{Fingerprint: 1, Count: 2, Age: time.Second}}}, counts: []int{2, 0}},
+		"peer's older news": {
+			before: append(alone[:4:4], crash.Left{Job: "p2", Fingerprint: 1, Target: "b", Finished: true}),
+			last:   crash.Heard{Entries: []crash.Entry{{Fingerprint: 1, Count: 1, Age: time.Minute}}}, counts: []int{0, 1},
+		},
+		"peer's expired news": {last: crash.Heard{Entries: []crash.Entry{{Fingerprint: 1, Count: 2, Age: time.Hour}}}, counts: []int{0, 0}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, _ := after(crash.New(), test.before...)
+			s, commands := after(s, test.last)
+			assert.Equal(t, test.want, commands)
+			assert.Equal(t, test.counts, []int{count(s, 1), count(s, 2)})
+		})
+	}
+}
+
+func count(s crash.State, fingerprint uint64) int {
+	switch {
+	case s.Convicted(epoch, fingerprint):
+		return 2
+	case s.Suspect(epoch, fingerprint):
+		return 1
+	default:
+		return 0
+	}
+}
+
+func TestEntriesExpireAndAreBounded(t *testing.T) {
+	s := crash.New()
+	for i := range uint64(6000) {
+		s, _ = after(s, crash.Heard{Entries: []crash.Entry{{Fingerprint: i, Count: 1 + int(i)%2}}})
+	}
+	assert.Len(t, s.Entries(epoch), 4096)
+	later := epoch.Add(16 * time.Minute)
+	s, _ = s.Update(later, crash.Tick{})
+	assert.Empty(t, s.Entries(later))
+}
+
+func TestWaitEndsInCompany(t *testing.T) {
+	s, _ := after(crash.New(), crash.Heard{Entries: []crash.Entry{{Fingerprint: 1, Count: 1}}},
+		crash.Place{Job: "x", Fingerprint: 3, Target: "a"}, crash.Place{Job: "p", Fingerprint: 1, Target: "a"})
+	at, ok := s.Wake()
+	assert.True(t, ok)
+	s, commands := s.Update(at, crash.Tick{})
+	assert.Equal(t, []crash.Command{crash.Go{Job: "p"}}, commands)
+	s, _ = s.Update(at, crash.Died{Job: "p", Target: "a"})
+	assert.False(t, s.Convicted(at, 1), "a crash in company convicts none")
+}
+
+const poison = 1
+
+// world runs requests on engines that the poisonous one crashes.
+type world struct {
+	t       *rapid.T
+	state   crash.State
+	now     time.Time
+	running map[string]crash.Place
+	asked   map[string]crash.Place
+	crashes int
+	company bool
+}
+
+func (w *world) step(message crash.Message) {
+	var commands []crash.Command
+	w.state, commands = w.state.Update(w.now, message)
+	for _, command := range commands {
+		switch c := command.(type) {
+		case crash.Go:
+			w.running[c.Job] = w.asked[c.Job]
+			w.company = w.company || (w.state.Suspect(w.now, w.asked[c.Job].Fingerprint) && !c.Alone)
+		case crash.Refuse:
+			assert.EqualValues(w.t, poison, w.asked[c.Job].Fingerprint, "an innocent request was refused")
+		}
+	}
+}
+
+func (w *world) place(place crash.Place) {
+	w.asked[place.Job] = place
+	w.step(place)
+}
+
+// end crashes an engine or finishes a request.
+func (w *world) end(job string) {
+	run, ok := w.running[job]
+	if !ok {
+		return
+	}
+	if run.Fingerprint != poison {
+		delete(w.running, job)
+		w.step(crash.Left{Job: job, Fingerprint: run.Fingerprint, Target: run.Target, Finished: true})
+		return
+	}
+	w.crashes++
+	for other, beside := range w.running {
+		if beside.Target == run.Target {
+			delete(w.running, other)
+		}
+	}
+	w.step(crash.Died{Job: job, Target: run.Target})
+}
+
+func (w *world) jobs() []string { return slices.Sorted(maps.Keys(w.running)) }
+
+// TestPoisonIsFoundAndInnocentsAreNot runs a poisonous request that its caller
+// repeats beside innocent ones over a few engines.
+func TestPoisonIsFoundAndInnocentsAreNot(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{t: t, state: crash.New(), now: epoch, running: map[string]crash.Place{}, asked: map[string]crash.Place{}}
+		for i := range rapid.IntRange(20, 200).Draw(t, "steps") {
+			w.now = w.now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "millis")) * time.Millisecond)
+			w.place(crash.Place{
+				Job: fmt.Sprint(i), Target: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "target"),
+				Fingerprint: uint64(rapid.SampledFrom([]int{poison, 2, 3, 4, 5, 6, 7, 8}).Draw(t, "print")),
+			})
+			if jobs := w.jobs(); len(jobs) > 0 && rapid.Bool().Draw(t, "end") {
+				w.end(rapid.SampledFrom(jobs).Draw(t, "job"))
+			}
+		}
+		if !w.company {
+			// Three of them can run before the first death is known.
+			assert.LessOrEqual(t, w.crashes, 3+1)
+		}
+	})
+}
+
+func ExampleState_Update() {
+	s := crash.New()
+	for _, target := range []string{"engine-1", "engine-2"} {
+		s, _ = s.Update(epoch, crash.Place{Job: target, Fingerprint: 7, Target: target})
+		s, _ = s.Update(epoch, crash.Died{Job: target, Target: target})
+	}
+	_, commands := s.Update(epoch, crash.Place{Job: "again", Fingerprint: 7, Target: "engine-3"})
+	fmt.Printf("%T\n", commands[0])
+	// Output: crash.Refuse
+}
