--- a/cmd/cicadamill/measure.go
+++ b/cmd/cicadamill/measure.go
@@ -14,7 +14,7 @@
 	"github.com/cicadamill/cicadamill/internal/tool/trace"
 )
 
-type measureArgs struct {
+type measureCommand struct {
 	Site   []string `arg:"--site,separate" help:"deployment to measure: ashaiman or kochi; all when left out" placeholder:"NAME"`
 	Load   []string `arg:"--load,separate" help:"load to run; all when left out" placeholder:"NAME"`
 	Policy []string `arg:"--policy,separate" help:"policy to run; all when left out" placeholder:"NAME"`
@@ -24,9 +24,9 @@
 	Plots  string   `arg:"--plots" help:"folder for one SVG a load" placeholder:"FOLDER"`
 }
 
-// measure runs the decision slices against the cost model of engines in
-// virtual time.
-func measure(ctx context.Context, a measureArgs) error {
+// Run runs the decision slices against the cost model of engines in virtual
+// time.
+func (a *measureCommand) Run(ctx context.Context, out io.Writer) error {
 	var loads []trace.Load
 	for _, site := range []trace.Site{trace.Ashaiman(), trace.Kochi()} {
 		if !chosen(a.Site, site.Name) {
@@ -43,7 +43,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	if err := paint.Table(os.Stdout, rows); err != nil {
+	if err := paint.Table(out, rows); err != nil {
 		return errors.Trace(err)
 	}
 	if a.JSON != "" {
