Choose engines by expected first token and recomputed tokens

Cause: the placeholder ranked engines by the prompt's last block alone, so a question that crossed a block's end sent its sheet elsewhere, load was ignored, and nothing waited here.

Change: each engine has a belief about its cache, an estimate of its load and a fair queue held here. A request goes where the expected time to first token plus the weighted cost of recomputation is least; an engine gets only as much prefill as keeps it busy; a request waits for another that computes a shared prefix; what waits is moved when another engine becomes clearly better. Admission, retry budget, leaving, incarnations as in the package comments.

--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -82,7 +82,7 @@
 	}
 	s.logger.Info("configuration applied", "version", number)
 	s.watch.rank(config)
-	return s.loop.Send(ctx, cell.Targets{All: targets(config)})
+	return s.loop.Send(ctx, engineList(config))
 }
 
 // Serve runs the node until the context ends.
--- a/internal/route/cell/message.go
+++ b/internal/route/cell/message.go
@@ -1,6 +1,9 @@
 package cell
 
 import (
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cicadamill/cicadamill/internal/route/job"
@@ -41,6 +44,17 @@
 type Targets struct {
 	// All are the engines.
 	All []Target
+	// Shares are the workspaces' parts of the engines when all are busy.
+	Shares map[string]float64
+	// TailTTFT and Recomputation are the site's weights; zeros count as equal.
+	TailTTFT, Recomputation float64
+}
+
+// gone returns the engines that are no longer listed, in order of their names.
+func (Targets) gone(known map[string]*target) []*target {
+	left := slices.Collect(maps.Values(known))
+	slices.SortFunc(left, func(a, b *target) int { return strings.Compare(a.Name, b.Name) })
+	return left
 }
 
 // Arrived brings a request that wants an engine.
--- /dev/null
+++ b/internal/route/cell/run.go
@@ -0,0 +1,84 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cicadamill/cicadamill/internal/route/job"
+	"github.com/cicadamill/cicadamill/internal/safety/effect"
+)
+
+// phase is how far a request has come.
+type phase int
+
+const (
+	waits phase = iota
+	prefills
+	decodes
+)
+
+// run is one request that is not over.
+type run struct {
+	job     job.Job
+	arrived time.Time
+	attempt int
+	phase   phase
+	target  *target
+	tried   []string
+	outcome effect.Outcome
+	// levels are the depths at which the prompt's levels end.
+	levels []int
+	// prefill are the prompt tokens counted at the engine.
+	prefill int
+	// ahead are the prompt tokens that the engine had to compute before.
+	ahead int
+	// cached are the blocks thought to be cached at dispatch.
+	cached int
+	sent   time.Time
+	placed time.Time
+	held   bool
+}
+
+const (
+	interactiveWeight = 1.0
+	batchWeight       = 0.1
+	batchClass        = "batch"
+	batchPriority     = 10
+	// answerTokens is what an answer costs beside its prompt when workspaces
+	// share engines.
+	answerTokens = 200
+)
+
+func (r *run) deadline() time.Time {
+	if r.job.Deadline <= 0 {
+		return r.arrived.Add(defaultPatience)
+	}
+	return r.arrived.Add(r.job.Deadline)
+}
+
+func (r *run) flow() string { return r.job.Workspace + "/" + r.job.Class }
+
+func (r *run) weight() float64 {
+	share := r.job.Share
+	if share <= 0 {
+		share = 1
+	}
+	if r.job.Class == batchClass {
+		return share * batchWeight
+	}
+	return share * interactiveWeight
+}
+
+func (r *run) priority() int {
+	if r.job.Class == batchClass {
+		return batchPriority
+	}
+	return 0
+}
+
+func (r *run) hasTried(name string) bool { return slices.Contains(r.tried, name) }
+
+// uncached returns the prompt tokens to compute when so many blocks are cached.
+func (r *run) uncached(blocks int) int {
+	return max(1, r.job.PromptTokens-blocks*r.job.BlockTokens)
+}
--- /dev/null
+++ b/internal/route/cell/work.go
@@ -0,0 +1,129 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/cicadamill/cicadamill/internal/route/admit"
+	"github.com/cicadamill/cicadamill/internal/route/job"
+	"github.com/cicadamill/cicadamill/internal/route/queue"
+	"github.com/cicadamill/cicadamill/internal/safety/effect"
+)
+
+const (
+	// maxAhead are the prompt tokens that an engine may have before it; more
+	// wait here, where their order can still change.
+	maxAhead = 4000
+	// noEngineRetry is the wait told when no engine can be used.
+	noEngineRetry = time.Second
+)
+
+// arrive takes a new request. One that is known already is not taken twice.
+func (s *State) arrive(now time.Time, j job.Job) []Command {
+	if _, known := s.running[j.ID]; known {
+		return nil
+	}
+	s.count.Arrived++
+	s.budget.Earn()
+	r := &run{job: j, arrived: now, outcome: effect.NotRun{}}
+	r.levels = s.finder.Observe(j.Blocks)
+	s.running[j.ID] = r
+	if len(s.running) > maxRunning {
+		return s.refuse(r, "overloaded", "too many requests are waiting", admit.Retry(s.random, noEngineRetry))
+	}
+	return s.place(now, r)
+}
+
+// place puts a request in the queue of the best engine, or refuses it when it
+// can't be answered in time.
+func (s *State) place(now time.Time, r *run) []Command {
+	best := s.choose(now, r)
+	if best.target == nil {
+		return s.refuse(r, "noEngine", "no engine is available", admit.Retry(s.random, noEngineRetry))
+	}
+	if turn, ok := admit.Decide(s.random, best.ttft, r.deadline().Sub(now)).(admit.Turn); ok {
+		return s.refuse(r, "overloaded", "the first token can't come in time", turn.RetryAfter)
+	}
+	s.enqueue(now, r, best)
+	return s.dispatch(now, best.target)
+}
+
+func (s *State) enqueue(now time.Time, r *run, o offer) {
+	r.target, r.phase, r.placed = o.target, waits, now
+	s.waiting++
+	o.target.queued[r.job.ID] = r
+	o.target.queue.Push(queue.Item{
+		ID: r.job.ID, Flow: r.flow(), Weight: r.weight(), Cost: r.uncached(o.cached) + answerTokens,
+	})
+}
+
+// dequeue takes a waiting request out of its engine's queue.
+func (s *State) dequeue(r *run) {
+	if _, ok := r.target.queued[r.job.ID]; !ok {
+		return
+	}
+	delete(r.target.queued, r.job.ID)
+	r.target.queue.Remove(r.job.ID)
+	s.waiting--
+}
+
+// dispatch sends waiting requests to an engine while it has room.
+func (s *State) dispatch(now time.Time, t *target) []Command {
+	var commands []Command
+	for t.queue.Len() > 0 && t.usable(now) && !t.load.Full(now) && t.load.Prefill(now) < maxAhead {
+		item, ok := t.queue.Pop(func(item queue.Item) bool { return !s.mustHold(t, t.queued[item.ID]) })
+		if !ok {
+			break
+		}
+		r := t.queued[item.ID]
+		delete(t.queued, item.ID)
+		s.waiting--
+		commands = append(commands, s.send(now, r))
+	}
+	return commands
+}
+
+// mustHold reports whether a request should wait until another one has computed
+// a prefix that both share.
+func (s *State) mustHold(t *target, r *run) bool {
+	if len(t.leads) == 0 {
+		return false
+	}
+	for _, block := range r.job.Blocks {
+		if _, computing := t.leads[block]; !computing {
+			continue
+		}
+		if !r.held {
+			r.held = true
+			s.count.Held++
+		}
+		return true
+	}
+	return false
+}
+
+// send dispatches a request to its engine.
+func (s *State) send(now time.Time, r *run) Command {
+	t := r.target
+	r.attempt++
+	r.phase, r.sent = prefills, now
+	r.tried = append(r.tried, t.Name)
+	r.cached = t.cache.Depth(r.job.Blocks)
+	r.prefill, r.ahead = r.uncached(r.cached), t.load.Prefill(now)
+	t.load.Start(now, r.prefill)
+	for _, block := range r.job.Blocks[r.cached:] {
+		t.leads[block] = r.job.ID
+	}
+	t.cache.Touch(now, r.job.Blocks)
+	expected := r.cached * r.job.BlockTokens
+	s.count.Expected += uint64(expected)
+	return Start{
+		Job: r.job.ID, Attempt: r.attempt, Target: t.Name, Incarnation: t.cache.Incarnation(),
+		WeightVersion: r.job.WeightVersion, Priority: r.priority(), Expected: expected,
+	}
+}
+
+func (s *State) refuse(r *run, code, text string, retry time.Duration) []Command {
+	s.count.Refused++
+	delete(s.running, r.job.ID)
+	return []Command{Refuse{Job: r.job.ID, Code: code, Outcome: r.outcome, RetryAfter: retry, Message: text}}
+}
--- a/internal/tool/bench/own.go
+++ b/internal/tool/bench/own.go
@@ -6,4 +6,6 @@
 	"github.com/cicadamill/cicadamill/internal/tool/world"
 )
 
-func own(trace.Site, uint64) world.Decider { return &slice{state: cell.New()} }
+func own(_ trace.Site, seed uint64) world.Decider {
+	return &slice{state: cell.New(cell.WithSeed(seed))}
+}
--- a/internal/tool/trace/site.go
+++ b/internal/tool/trace/site.go
@@ -82,3 +82,12 @@
 	}
 	return a
 }
+
+// Shares returns the shares of the application's workspaces.
+func (a App) Shares() map[string]float64 {
+	shares := map[string]float64{}
+	for _, w := range a.workspaces {
+		shares[w.name] = w.share
+	}
+	return shares
+}
--- a/internal/tool/trace/trace.go
+++ b/internal/tool/trace/trace.go
@@ -61,17 +61,17 @@
 	// meanAsked is the mean number of questions on one sheet.
 	meanAsked = 4
 	// shortPart is the part of the sessions that are one short question.
-	shortPart             = 0.6
-	minQuestion           = 50
-	maxQuestion           = 600
-	minOutput             = 20
-	maxOutput             = 150
-	batchPart             = 0.1
-	defaultPatience       = 30 * time.Second
-	steadyEventLag        = 500 * time.Millisecond
-	steadyReportLag       = time.Second
-	materialSkew          = 0.5
-	firstSheet            = 1 << 20
+	shortPart       = 0.6
+	minQuestion     = 50
+	maxQuestion     = 600
+	minOutput       = 20
+	maxOutput       = 150
+	batchPart       = 0.1
+	defaultPatience = 30 * time.Second
+	steadyEventLag  = 500 * time.Millisecond
+	steadyReportLag = time.Second
+	materialSkew    = 0.5
+	firstSheet      = 1 << 20
 )
 
 // sheetLengths bound the length of the sheets of a session, in tokens.
--- a/internal/tool/world/attempt.go
+++ b/internal/tool/world/attempt.go
@@ -67,7 +67,7 @@
 	case cost.First:
 		w.firstToken(r)
 	default:
-		w.ended(n, reply)
+		w.ended(reply)
 	}
 }
 
@@ -81,7 +81,7 @@
 	})
 }
 
-func (w *World) ended(n *node, reply cost.Reply) {
+func (w *World) ended(reply cost.Reply) {
 	switch r := reply.(type) {
 	case cost.Finished:
 		w.back(r.ID, true, func(a attempt) cell.Message {
--- a/internal/tool/world/world.go
+++ b/internal/tool/world/world.go
@@ -138,17 +138,17 @@
 		for i := range count {
 			d := &desk{app: app.Name, decider: w.options.Make(w.load.Site, uint64(w.epoch*100+i))}
 			w.cells[app.Name] = append(w.cells[app.Name], d)
-			w.tell(d, cell.Targets{All: targets(app)})
+			w.tell(d, w.targets(app))
 		}
 	}
 }
 
-func targets(app trace.App) []cell.Target {
-	var all []cell.Target
+func (w *World) targets(app trace.App) cell.Targets {
+	m := cell.Targets{Shares: app.Shares(), TailTTFT: w.load.Site.TailTTFT, Recomputation: w.load.Site.Recomputation}
 	for _, o := range app.Engines {
-		all = append(all, cell.Target{Name: o.Name, Model: "quay-7b", Applications: []string{app.Name}, Capacity: 1, CacheBlocks: o.CacheBlocks})
+		m.All = append(m.All, cell.Target{Name: o.Name, Model: "quay-7b", Applications: []string{app.Name}, Capacity: 1, CacheBlocks: o.CacheBlocks})
 	}
-	return all
+	return m
 }
 
 func (w *World) after(d time.Duration, run func()) { w.queue.add(w.now.Add(d), run) }
