--- a/internal/node/loop/loop.go
+++ b/internal/node/loop/loop.go
@@ -43,7 +43,10 @@
 // again; it then starts from the last list of engines.
 func (l *Loop) Serve(ctx context.Context) error {
 	state := cell.New()
-	state, _ = state.Update(time.Now(), l.lastTargets())
+	state, commands := state.Update(time.Now(), l.lastTargets())
+	for _, command := range commands {
+		l.run(ctx, command)
+	}
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -54,7 +57,6 @@
 		case message = <-l.inbox:
 		case <-ticker.C:
 		}
-		var commands []cell.Command
 		state, commands = state.Update(time.Now(), message)
 		for _, command := range commands {
 			l.run(ctx, command)
--- a/internal/route/cell/learn.go
+++ b/internal/route/cell/learn.go
@@ -14,7 +14,8 @@
 )
 
 // replace takes a new list of engines. What is known of engines that stay is
-// kept, and so is the leaving mark, which belongs to an incarnation.
+// kept, and so is the leaving mark, which belongs to an incarnation. Of a new
+// engine it asks for a snapshot.
 func (s *State) replace(now time.Time, m Targets) []Command {
 	s.weights = newWeights(m.TailTTFT, m.Recomputation)
 	known := map[string]*target{}
@@ -22,10 +23,12 @@
 		known[t.Name] = t
 	}
 	s.targets = nil
+	var commands []Command
 	for i, next := range m.All {
 		t, ok := known[next.Name]
 		if !ok {
 			t = newTarget(next)
+			commands = append(commands, s.fetch(now, t)...)
 		}
 		delete(known, next.Name)
 		leaving, weights := t.Leaving, t.WeightVersion
@@ -42,7 +45,6 @@
 		s.targets = append(s.targets, t)
 	}
 	s.owners = newOwners(m.Shares)
-	var commands []Command
 	for _, t := range m.gone(known) {
 		t.gone = true
 		commands = append(commands, s.clear(now, t)...)
