Weigh recomputation by the length of the queues

Cause: in a herd every queue is long, so the difference of two waits outweighs a recomputed prompt, and requests go to engines that hold nothing. Each such prefill delays all that waits behind it, which the choice left out.

Change: the weight of a recomputed second grows by half of the mean number of requests that wait at an engine.

--- a/internal/route/cell/choose.go
+++ b/internal/route/cell/choose.go
@@ -18,7 +18,9 @@
 
 const (
 	baseRecompute = 0.5
-	ownerStray    = 50 * time.Millisecond
+	// queuedWeight is the part of the waiting requests that a prefill delays.
+	queuedWeight = 0.5
+	ownerStray   = 50 * time.Millisecond
 )
 
 // newWeights derives the balance from a configuration's weights; zeros count
@@ -48,12 +50,13 @@
 // is none. It allocates nothing.
 func (s State) choose(now time.Time, r *run) offer {
 	owner := s.owner(now, r)
+	recompute := s.recompute()
 	best := offer{}
 	for _, t := range s.targets {
 		if !t.usable(now) || !t.serves(r) || r.hasTried(t.Name) {
 			continue
 		}
-		o := s.offer(now, r, t)
+		o := s.offer(now, r, t, recompute)
 		if t != owner {
 			o.cost += s.weights.stray.Seconds()
 		}
@@ -64,9 +67,19 @@
 	return best
 }
 
+// recompute returns what a second of prefill counts for beyond the delay of the
+// request itself. It grows with the queues: each request that waits is delayed
+// by it too.
+func (s State) recompute() float64 {
+	if len(s.targets) == 0 {
+		return s.weights.recompute
+	}
+	return s.weights.recompute + queuedWeight*float64(s.waiting)/float64(len(s.targets))
+}
+
 // offer estimates the time to first token of a request on an engine: the work
 // before it, its own uncached prompt, and what computing it costs the others.
-func (s State) offer(now time.Time, r *run, t *target) offer {
+func (s State) offer(now time.Time, r *run, t *target, recompute float64) offer {
 	cached := t.cache.Depth(r.job.Blocks)
 	rate := t.load.Rate()
 	ahead := t.load.Prefill(now)
@@ -76,7 +89,7 @@
 	wait := float64(ahead) * rate
 	own := float64(r.uncached(cached)) * rate
 	return offer{
-		target: t, cached: cached, cost: wait + own*(1+s.weights.recompute),
+		target: t, cached: cached, cost: wait + own*(1+recompute),
 		ttft: time.Duration((wait + own) * float64(time.Second)),
 	}
 }
--- a/internal/route/cell/learn.go
+++ b/internal/route/cell/learn.go
@@ -140,7 +140,7 @@
 func (s *State) reconsider(now time.Time, r *run) []Command {
 	from := r.target
 	best := s.choose(now, r)
-	stay := s.offer(now, r, from)
+	stay := s.offer(now, r, from, s.recompute())
 	if best.target == nil || best.target == from || best.cost > stay.cost*(1-moveGain) {
 		return nil
 	}
