--- a/internal/route/cell/choose.go
+++ b/internal/route/cell/choose.go
@@ -18,8 +18,8 @@
 
 const (
 	baseRecompute = 0.5
-	// queuedWeight is the part of the waiting requests that a prefill delays.
-	queuedWeight = 0.5
+	// queuedWeight is the part of an engine's waiting requests that a prefill delays.
+	queuedWeight = 1.0
 	ownerStray   = 50 * time.Millisecond
 )
 
