Order a workspace's waiting requests by response ratio

Cause: in a surge a follow-up question waits behind cold ledgers until its own ledger is evicted, and is computed again.

Change: within a flow the request with the highest ratio of waiting time to its own prefill goes first, among the 32 oldest. The order between flows is unchanged.

--- a/internal/route/cell/work.go
+++ b/internal/route/cell/work.go
@@ -70,7 +70,7 @@
 func (s *State) dispatch(now time.Time, t *target) []Command {
 	var commands []Command
 	for t.queue.Len() > 0 && t.usable(now) && !t.load.Full(now) && t.load.Prefill(now) < maxAhead {
-		item, ok := t.queue.Pop(func(item queue.Item) bool { return !s.mustHold(t, t.queued[item.ID]) })
+		item, ok := t.queue.Pop(func(item queue.Item) (float64, bool) { return s.rank(now, t, t.queued[item.ID]) })
 		if !ok {
 			break
 		}
@@ -82,6 +82,16 @@
 	return commands
 }
 
+// rank orders the waiting requests of one flow by their response ratio: those
+// whose prompt is cached go first, while it is, and none waits forever.
+func (s *State) rank(now time.Time, t *target, r *run) (float64, bool) {
+	if s.mustHold(t, r) {
+		return 0, false
+	}
+	own := float64(r.uncached(t.cache.Depth(r.job.Blocks))) * t.load.Rate()
+	return now.Sub(r.arrived).Seconds() / own, true
+}
+
 // mustHold reports whether a request should wait until another one has computed
 // a prefix that both share.
 func (s *State) mustHold(t *target, r *run) bool {
--- a/internal/route/queue/queue.go
+++ b/internal/route/queue/queue.go
@@ -4,9 +4,13 @@
 package queue
 
 import (
+	"cmp"
 	"slices"
 )
 
+// scanned is the number of a flow's oldest items that are compared.
+const scanned = 32
+
 // Item is a waiting request.
 type Item struct {
 	// ID identifies the request.
@@ -23,7 +27,7 @@
 //
 //	var q queue.Queue
 //	q.Push(queue.Item{ID: "a", Flow: "members", Weight: 2, Cost: 400})
-//	item, ok := q.Pop(func(queue.Item) bool { return true })
+//	item, ok := q.Pop(func(queue.Item) (float64, bool) { return 0, true })
 type Queue struct {
 	flows  map[string]*flow
 	names  []string
@@ -67,14 +71,16 @@
 	q.cost += item.Cost
 }
 
-// Pop removes and returns the first item, in fair order, that may run. Within
-// a flow an item that may not run lets those behind it pass.
-func (q *Queue) Pop(may func(Item) bool) (Item, bool) {
+// Pop removes and returns the next item. The flow is the first in fair order
+// that has an item which may run; within it, rank decides among the oldest
+// items: the highest goes first. The second result of rank is false for an item
+// that may not run now.
+func (q *Queue) Pop(rank func(Item) (float64, bool)) (Item, bool) {
 	order := slices.Clone(q.names)
-	slices.SortStableFunc(order, func(a, b string) int { return compare(q.flows[a].finish, q.flows[b].finish) })
+	slices.SortStableFunc(order, func(a, b string) int { return cmp.Compare(q.flows[a].finish, q.flows[b].finish) })
 	for _, name := range order {
 		f := q.flows[name]
-		at := slices.IndexFunc(f.items, may)
+		at := best(f.items[:min(len(f.items), scanned)], rank)
 		if at < 0 {
 			continue
 		}
@@ -87,6 +93,16 @@
 	return Item{}, false
 }
 
+func best(items []Item, rank func(Item) (float64, bool)) int {
+	at, highest := -1, 0.0
+	for i, item := range items {
+		if r, may := rank(item); may && (at < 0 || r > highest) {
+			at, highest = i, r
+		}
+	}
+	return at
+}
+
 // Remove takes an item out, wherever it stands.
 func (q *Queue) Remove(id string) bool {
 	for _, name := range q.names {
@@ -168,14 +184,3 @@
 	}
 	return q.cost / q.length
 }
-
-func compare(a, b float64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
