Import cached blocks when that is cheaper than prefill

Cause: in a surge ledgers are evicted between two questions, and an idle engine can't help a busy one without computing the whole prompt again.

Change: an offer may count on an import from the KV store or from an engine that holds more of the prompt; the import runs while the request waits for its turn, others that need the same blocks wait with it, and at its end incarnation, weight version and the request itself are checked again.

--- a/internal/route/cell/cell.go
+++ b/internal/route/cell/cell.go
@@ -46,6 +46,7 @@
 	budget  *budget.Budget
 	weights weights
 	owners  owners
+	store   *store
 	count   Counts
 }
 
@@ -82,7 +83,7 @@
 func New(options ...Option) State {
 	s := State{
 		running: map[string]*run{}, finder: level.New(levelBlocks), meter: heat.New(hotPrefixes),
-		budget: budget.New(), weights: newWeights(0, 0),
+		budget: budget.New(), store: newStore(), weights: newWeights(0, 0),
 	}
 	WithSeed(0)(&s)
 	for _, option := range options {
@@ -115,6 +116,8 @@
 		commands = s.cached(now, m)
 	case Snapshot:
 		s.snapshot(now, m)
+	case Imported:
+		commands = s.imported(now, m)
 	case Tick:
 		commands = s.tick(now)
 	}
--- a/internal/route/cell/choose.go
+++ b/internal/route/cell/choose.go
@@ -44,19 +44,22 @@
 	ttft time.Duration
 	// cached are the blocks expected to be cached.
 	cached int
+	// imports is true when blocks should be imported from a source first.
+	imports bool
+	from    source
 }
 
 // choose returns the best engine for a request; the target is nil when there
 // is none. It allocates nothing.
 func (s State) choose(now time.Time, r *run) offer {
 	owner := s.owner(now, r)
-	recompute := s.recompute()
+	recompute, from := s.recompute(), s.source(now, r)
 	best := offer{}
 	for _, t := range s.targets {
 		if !t.usable(now) || !t.serves(r) || r.hasTried(t.Name) {
 			continue
 		}
-		o := s.offer(now, r, t, recompute)
+		o := s.offer(now, r, t, recompute, from)
 		if t != owner {
 			o.cost += s.weights.stray.Seconds()
 		}
@@ -79,7 +82,7 @@
 
 // offer estimates the time to first token of a request on an engine: the work
 // before it, its own uncached prompt, and what computing it costs the others.
-func (s State) offer(now time.Time, r *run, t *target, recompute float64) offer {
+func (s State) offer(now time.Time, r *run, t *target, recompute float64, from source) offer {
 	cached := t.cache.Depth(r.job.Blocks)
 	rate := t.load.Rate()
 	ahead := t.load.Prefill(now)
@@ -88,10 +91,22 @@
 	}
 	wait := float64(ahead) * rate
 	own := float64(r.uncached(cached)) * rate
-	return offer{
+	o := offer{
 		target: t, cached: cached, cost: wait + own*(1+recompute),
 		ttft: time.Duration((wait + own) * float64(time.Second)),
 	}
+	if from.target == t || from.depth < cached+minImport {
+		return o
+	}
+	// An import runs while the request waits for its turn.
+	brought := s.importTime(from.depth - cached)
+	ready := max(wait, brought)
+	rest := float64(r.uncached(from.depth)) * rate
+	if cost := ready + rest*(1+recompute) + brought*importWeight; cost < o.cost {
+		o.cost, o.from, o.imports = cost, from, true
+		o.ttft = time.Duration((ready + rest) * float64(time.Second))
+	}
+	return o
 }
 
 // owner returns the computed owner of a request's prefix among the engines of
--- a/internal/route/cell/command.go
+++ b/internal/route/cell/command.go
@@ -8,7 +8,7 @@
 )
 
 // Command is something that the shell must do. It is one of [Start], [Refuse],
-// [Stop], [Fetch] or [Wake].
+// [Stop], [Fetch], [Import] or [Wake].
 type Command interface{ command() }
 
 // Start runs an attempt on an engine.
@@ -59,6 +59,24 @@
 	Target string
 }
 
+// Import brings cached blocks into an engine for a request that waits for it.
+// The shell answers with [Imported], also when it fails.
+type Import struct {
+	// Job identifies the request.
+	Job string
+	// Target is the engine that should take the blocks.
+	Target string
+	// Incarnation is the engine start that should take them.
+	Incarnation string
+	// Source is the name of the engine that has the blocks; empty means the KV
+	// store.
+	Source string
+	// Workspace and WeightVersion are what the blocks belong to.
+	Workspace, WeightVersion string
+	// Blocks are the chained hashes, in prompt order.
+	Blocks []uint64
+}
+
 // Wake asks for a [Tick] at a time.
 type Wake struct {
 	// At is the time.
@@ -69,4 +87,5 @@
 func (Refuse) command() {}
 func (Stop) command()   {}
 func (Fetch) command()  {}
+func (Import) command() {}
 func (Wake) command()   {}
--- a/internal/route/cell/end.go
+++ b/internal/route/cell/end.go
@@ -37,6 +37,7 @@
 	}
 	r.target.load.Learn(r.prefill+r.ahead, now.Sub(r.sent))
 	s.settle(now, r)
+	s.store.add(r.job.Blocks)
 	r.phase = decodes
 	return s.dispatch(now, r.target)
 }
--- a/internal/route/cell/learn.go
+++ b/internal/route/cell/learn.go
@@ -45,6 +45,7 @@
 		s.targets = append(s.targets, t)
 	}
 	s.owners = newOwners(m.Shares)
+	s.store.present = m.HasStore
 	for _, t := range m.gone(known) {
 		t.gone = true
 		commands = append(commands, s.clear(now, t)...)
@@ -123,11 +124,14 @@
 	var commands []Command
 	for _, id := range t.queue.IDs() {
 		r := t.queued[id]
+		if r.importing != nil && !now.Before(r.importUntil) {
+			s.endImport(r)
+		}
 		switch {
 		case !now.Before(r.deadline()):
 			s.dequeue(r)
 			commands = append(commands, s.refuse(r, "deadline", "the first token did not come in time", 0)...)
-		case *moves > 0 && now.Sub(r.placed) >= moveAfter:
+		case *moves > 0 && r.importing == nil && now.Sub(r.placed) >= moveAfter:
 			*moves--
 			r.placed = now
 			commands = append(commands, s.reconsider(now, r)...)
@@ -140,14 +144,14 @@
 func (s *State) reconsider(now time.Time, r *run) []Command {
 	from := r.target
 	best := s.choose(now, r)
-	stay := s.offer(now, r, from, s.recompute())
+	stay := s.offer(now, r, from, s.recompute(), source{})
 	if best.target == nil || best.target == from || best.cost > stay.cost*(1-moveGain) {
 		return nil
 	}
 	s.dequeue(r)
-	s.enqueue(now, r, best)
+	commands := s.enqueue(now, r, best)
 	s.count.Moved++
-	return s.dispatch(now, best.target)
+	return append(commands, s.dispatch(now, best.target)...)
 }
 
 func (s *State) find(name string) *target {
--- a/internal/route/cell/message.go
+++ b/internal/route/cell/message.go
@@ -13,7 +13,7 @@
 
 // Message is something that happened. It is one of [Targets], [Arrived],
 // [Started], [First], [Ended], [Cancelled], [Reported], [Cached], [Snapshot],
-// [Leaving] or [Tick].
+// [Leaving], [Imported] or [Tick].
 type Message interface{ message() }
 
 // Target is an engine that the cell may choose.
@@ -44,6 +44,8 @@
 type Targets struct {
 	// All are the engines.
 	All []Target
+	// HasStore is true when the engines keep what they compute in a KV store.
+	HasStore bool
 	// Shares are the workspaces' parts of the engines when all are busy.
 	Shares map[string]float64
 	// TailTTFT and Recomputation are the site's weights; zeros count as equal.
@@ -135,6 +137,22 @@
 	Target string
 }
 
+// Imported tells that an [Import] is over.
+type Imported struct {
+	// Job identifies the request.
+	Job string
+	// Target is the engine that took the blocks.
+	Target string
+	// Incarnation is the engine start that took them.
+	Incarnation string
+	// WeightVersion is the version that they were computed with.
+	WeightVersion string
+	// Blocks is the number of blocks brought in; zero when it failed.
+	Blocks int
+	// Took is how long it lasted.
+	Took time.Duration
+}
+
 // Tick tells that time has passed.
 type Tick struct{}
 
@@ -148,4 +166,5 @@
 func (Cached) message()    {}
 func (Snapshot) message()  {}
 func (Leaving) message()   {}
+func (Imported) message()  {}
 func (Tick) message()      {}
--- a/internal/route/cell/run.go
+++ b/internal/route/cell/run.go
@@ -37,6 +37,9 @@
 	sent   time.Time
 	placed time.Time
 	held   bool
+	// importing are the blocks on their way to the engine, until importUntil.
+	importing   []uint64
+	importUntil time.Time
 }
 
 const (
--- a/internal/route/cell/work.go
+++ b/internal/route/cell/work.go
@@ -43,17 +43,21 @@
 	if turn, ok := admit.Decide(s.random, best.ttft, r.deadline().Sub(now)).(admit.Turn); ok {
 		return s.refuse(r, "overloaded", "the first token can't come in time", turn.RetryAfter)
 	}
-	s.enqueue(now, r, best)
-	return s.dispatch(now, best.target)
+	commands := s.enqueue(now, r, best)
+	return append(commands, s.dispatch(now, best.target)...)
 }
 
-func (s *State) enqueue(now time.Time, r *run, o offer) {
+func (s *State) enqueue(now time.Time, r *run, o offer) []Command {
 	r.target, r.phase, r.placed = o.target, waits, now
 	s.waiting++
 	o.target.queued[r.job.ID] = r
 	o.target.queue.Push(queue.Item{
-		ID: r.job.ID, Flow: r.flow(), Weight: r.weight(), Cost: r.uncached(o.cached) + answerTokens,
+		ID: r.job.ID, Flow: r.flow(), Weight: r.weight(), Cost: r.uncached(max(o.cached, o.from.depth)) + answerTokens,
 	})
+	if o.imports {
+		return s.bring(now, r, o)
+	}
+	return nil
 }
 
 // dequeue takes a waiting request out of its engine's queue.
@@ -64,6 +68,7 @@
 	delete(r.target.queued, r.job.ID)
 	r.target.queue.Remove(r.job.ID)
 	s.waiting--
+	s.endImport(r)
 }
 
 // dispatch sends waiting requests to an engine while it has room.
@@ -95,6 +100,9 @@
 // mustHold reports whether a request should wait until another one has computed
 // a prefix that both share.
 func (s *State) mustHold(t *target, r *run) bool {
+	if r.importing != nil {
+		return true
+	}
 	if len(t.leads) == 0 {
 		return false
 	}
--- a/internal/tool/bench/bench.go
+++ b/internal/tool/bench/bench.go
@@ -40,9 +40,10 @@
 		{"roundRobin", world.Options{Make: baseline(rival.RoundRobin)}},
 		{"leastLoaded", world.Options{Make: baseline(rival.LeastLoaded)}},
 		{"prefixHash", world.Options{Make: baseline(rival.PrefixHash)}},
-		{"home", world.Options{Make: own}},
-		{"gossip", world.Options{Make: own, Alone: true, Gossip: GossipInterval}},
-		{"alone", world.Options{Make: own, Alone: true}},
+		{"home", world.Options{Make: own, Store: true}},
+		{"homeNoStore", world.Options{Make: own}},
+		{"gossip", world.Options{Make: own, Store: true, Alone: true, Gossip: GossipInterval}},
+		{"alone", world.Options{Make: own, Store: true, Alone: true}},
 	}
 }
 
--- a/internal/tool/trace/loads.go
+++ b/internal/tool/trace/loads.go
@@ -75,7 +75,7 @@
 	m := &maker{site: site, random: rand.New(rand.NewPCG(seed, uint64(len(site.Name))))}
 	return m, Load{
 		Name: name, Site: site, From: warmUp, To: end - defaultPatience,
-		EventLag: steadyEventLag, ReportLag: steadyReportLag,
+		EventLag: steadyEventLag, ReportLag: steadyReportLag, StoreDownFrom: end + warmUp,
 	}
 }
 
@@ -102,6 +102,7 @@
 	m.day(0, end, 1, site.lengths)
 	m.day(faultAt, faultAt+time.Second, herdRate, site.lengths)
 	l.Faults = []Fault{Restart{At: faultAt, EmptyEngines: empty}}
+	l.StoreDownFrom = faultAt
 	l.From, l.To = faultAt, faultAt+time.Minute
 	l.Requests = m.finish(end)
 	return l
--- a/internal/tool/trace/trace.go
+++ b/internal/tool/trace/trace.go
@@ -42,6 +42,8 @@
 	EventLoss float64
 	// ReportLag is the age of load reports.
 	ReportLag time.Duration
+	// StoreDownFrom is when the KV store goes away.
+	StoreDownFrom time.Duration
 }
 
 // Routers is the number of routers behind the balancer.
--- a/internal/tool/world/attempt.go
+++ b/internal/tool/world/attempt.go
@@ -54,6 +54,7 @@
 		w.queue.add(r.At, func() { w.apply(n, cost.Step{Number: r.Number}, attempt{}) })
 	case cost.Computed:
 		w.score.Computed(w.now.Sub(w.start), r.Blocks)
+		w.keep(r.Blocks)
 	case cost.Cached:
 		if w.random.Float64() >= w.load.EventLoss {
 			n.events = append(n.events, r.Event)
--- a/internal/tool/world/world.go
+++ b/internal/tool/world/world.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"github.com/cicadamill/cicadamill/internal/route/cell"
 	"github.com/cicadamill/cicadamill/internal/standin/cost"
 	"github.com/cicadamill/cicadamill/internal/target/engine"
@@ -30,6 +32,8 @@
 	// Gossip is the interval at which routers tell each other what they have in
 	// flight; zero means never.
 	Gossip time.Duration
+	// Store tells the deciders that there is a KV store.
+	Store bool
 }
 
 const (
@@ -39,6 +43,8 @@
 	fetchTime      = 50 * time.Millisecond
 	importBase     = 20 * time.Millisecond
 	importPerBlock = 25 * time.Millisecond
+	storePerBlock  = 5 * time.Millisecond
+	storeBlocks    = 8192
 	resendSpread   = time.Second
 	minRetry       = 100 * time.Millisecond
 )
@@ -57,6 +63,8 @@
 	calls   map[string]*call
 	score   *score.Score
 	epoch   int
+	store   *simplelru.LRU[uint64, struct{}]
+	stored  time.Time
 	ongoing map[string]attempt
 }
 
@@ -66,6 +74,8 @@
 	app    string
 	engine *cost.Engine
 	events []engine.CacheEvent
+	// linked is when the engine's import link is free again.
+	linked time.Time
 }
 
 // desk is one decider.
@@ -101,6 +111,7 @@
 			w.order = append(w.order, n)
 		}
 	}
+	w.store, _ = simplelru.NewLRU[uint64, struct{}](storeBlocks, nil)
 	w.open()
 	for i := range load.Requests {
 		w.schedule(&load.Requests[i])
@@ -144,7 +155,7 @@
 }
 
 func (w *World) targets(app trace.App) cell.Targets {
-	m := cell.Targets{Shares: app.Shares(), TailTTFT: w.load.Site.TailTTFT, Recomputation: w.load.Site.Recomputation}
+	m := cell.Targets{HasStore: w.options.Store, Shares: app.Shares(), TailTTFT: w.load.Site.TailTTFT, Recomputation: w.load.Site.Recomputation}
 	for _, o := range app.Engines {
 		m.All = append(m.All, cell.Target{Name: o.Name, Model: "quay-7b", Applications: []string{app.Name}, Capacity: 1, CacheBlocks: o.CacheBlocks})
 	}
@@ -210,6 +221,8 @@
 		w.after(fetchTime, func() {
 			w.tell(d, cell.Snapshot{Target: c.Target, Snapshot: w.engines[c.Target].engine.Snapshot()})
 		})
+	case cell.Import:
+		w.bring(d, c)
 	case cell.Wake:
 		w.queue.add(c.At, func() { w.tell(d, cell.Tick{}) })
 	}
