Count what a copy evicts from a full cache

Cause: a copy of cached blocks, imported or computed, evicts others that are needed again, which the choice left out; copies between engines crowded out ledgers where there is no KV store.

Change: an offer that duplicates blocks on an engine with a full cache costs a quarter of their prefill more.

--- a/internal/route/cell/choose.go
+++ b/internal/route/cell/choose.go
@@ -20,7 +20,9 @@
 	baseRecompute = 0.5
 	// queuedWeight is the part of an engine's waiting requests that a prefill delays.
 	queuedWeight = 1.0
-	ownerStray   = 50 * time.Millisecond
+	// evictWeight is the part of the evicted blocks that are needed again.
+	evictWeight = 0.25
+	ownerStray  = 50 * time.Millisecond
 )
 
 // newWeights derives the balance from a configuration's weights; zeros count
@@ -95,20 +97,33 @@
 		target: t, cached: cached, cost: wait + own*(1+recompute),
 		ttft: time.Duration((wait + own) * float64(time.Second)),
 	}
-	if from.target == t || from.depth < cached+minImport {
+	if from.target == t || from.depth <= cached {
+		return o
+	}
+	o.cost += s.crowding(t, r, from.depth-cached)
+	if from.depth < cached+minImport {
 		return o
 	}
 	// An import runs while the request waits for its turn.
 	brought := s.importTime(from.depth - cached)
 	ready := max(wait, brought)
 	rest := float64(r.uncached(from.depth)) * rate
-	if cost := ready + rest*(1+recompute) + brought*importWeight; cost < o.cost {
+	if cost := ready + rest*(1+recompute) + brought*importWeight + s.crowding(t, r, from.depth-cached); cost < o.cost {
 		o.cost, o.from, o.imports = cost, from, true
 		o.ttft = time.Duration((ready + rest) * float64(time.Second))
 	}
 	return o
 }
 
+// crowding is what a second copy of blocks counts for: it evicts others from a
+// full cache.
+func (s State) crowding(t *target, r *run, blocks int) float64 {
+	if !t.cache.Full() {
+		return 0
+	}
+	return evictWeight * float64(blocks*r.job.BlockTokens) * t.load.Rate()
+}
+
 // owner returns the computed owner of a request's prefix among the engines of
 // its workspace. It needs no memory: routers that have just started agree.
 func (s State) owner(now time.Time, r *run) *target {
--- a/internal/route/know/know.go
+++ b/internal/route/know/know.go
@@ -26,6 +26,7 @@
 
 // Cache is the belief about one engine. See [New].
 type Cache struct {
+	capacity    int
 	blocks      *simplelru.LRU[uint64, time.Time]
 	incarnation string
 	past        []string
@@ -44,7 +45,7 @@
 		capacity = maxEntries
 	}
 	blocks, _ := simplelru.NewLRU[uint64, time.Time](capacity, nil)
-	return &Cache{blocks: blocks}
+	return &Cache{capacity: capacity, blocks: blocks}
 }
 
 // Incarnation returns the engine start that the belief is about; empty while
@@ -54,6 +55,9 @@
 // Len returns the number of blocks believed to be cached.
 func (c *Cache) Len() int { return c.blocks.Len() }
 
+// Full reports whether a further block evicts another.
+func (c *Cache) Full() bool { return c.blocks.Len() >= c.capacity }
+
 // Suspect reports whether events are known to be missing.
 func (c *Cache) Suspect() bool { return c.suspect }
 
