Import blocks when a request's turn comes

Cause: an import started at the end of a long queue; by the time its request ran, the blocks were evicted again and were computed after all.

Change: the choice of an engine still counts on an import, but it starts when the request is the next to run; others go meanwhile.

--- a/internal/route/cell/bring.go
+++ b/internal/route/cell/bring.go
@@ -97,25 +97,41 @@
 	return importBase.Seconds() + float64(blocks)*s.store.perBlock
 }
 
-// bring starts the import that an offer counts on. Others who need the same
-// blocks wait for it too.
-func (s *State) bring(now time.Time, r *run, o offer) []Command {
-	t := o.target
-	blocks := r.job.Blocks[o.cached:o.from.depth]
+// worthImport returns where blocks should be imported from before a request is
+// sent, if that is cheaper than computing them. It is tried once on an engine.
+func (s State) worthImport(now time.Time, r *run) (source, bool) {
+	t := r.target
+	if r.brought {
+		return source{}, false
+	}
+	from, cached := s.source(now, r), t.cache.Depth(r.job.Blocks)
+	blocks := from.depth - cached
+	if from.target == t || blocks < minImport {
+		return source{}, false
+	}
+	compute := float64(blocks*r.job.BlockTokens) * t.load.Rate()
+	return from, s.importTime(blocks)*(1+importWeight) < compute*(1+s.recompute())
+}
+
+// bring starts an import for a waiting request. Others who need the same blocks
+// wait for it too.
+func (s *State) bring(now time.Time, r *run, from source) Command {
+	t := r.target
+	blocks := r.job.Blocks[t.cache.Depth(r.job.Blocks):from.depth]
 	for _, block := range blocks {
 		t.leads[block] = r.job.ID
 	}
-	r.importing = blocks
+	r.importing, r.brought = blocks, true
 	r.importUntil = now.Add(importTimeout)
 	s.count.Imports++
 	command := Import{
 		Job: r.job.ID, Target: t.Name, Incarnation: t.cache.Incarnation(), Workspace: r.job.Workspace,
-		WeightVersion: r.job.WeightVersion, Blocks: r.job.Blocks[:o.from.depth],
+		WeightVersion: r.job.WeightVersion, Blocks: r.job.Blocks[:from.depth],
 	}
-	if o.from.target != nil {
-		command.Source = o.from.target.Name
+	if from.target != nil {
+		command.Source = from.target.Name
 	}
-	return []Command{command}
+	return command
 }
 
 // endImport lets a request and those that waited with it go on.
--- a/internal/route/cell/learn.go
+++ b/internal/route/cell/learn.go
@@ -149,9 +149,9 @@
 		return nil
 	}
 	s.dequeue(r)
-	commands := s.enqueue(now, r, best)
+	s.enqueue(now, r, best)
 	s.count.Moved++
-	return append(commands, s.dispatch(now, best.target)...)
+	return s.dispatch(now, best.target)
 }
 
 func (s *State) find(name string) *target {
--- a/internal/route/cell/run.go
+++ b/internal/route/cell/run.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cicadamill/cicadamill/internal/route/job"
+	"github.com/cicadamill/cicadamill/internal/route/queue"
 	"github.com/cicadamill/cicadamill/internal/safety/effect"
 )
 
@@ -38,7 +39,11 @@
 	placed time.Time
 	held   bool
 	// importing are the blocks on their way to the engine, until importUntil.
-	importing   []uint64
+	importing []uint64
+	// brought is true once an import was tried for the present engine.
+	brought bool
+	// item is the request's place in the engine's queue.
+	item        queue.Item
 	importUntil time.Time
 }
 
--- a/internal/route/cell/work.go
+++ b/internal/route/cell/work.go
@@ -43,21 +43,18 @@
 	if turn, ok := admit.Decide(s.random, best.ttft, r.deadline().Sub(now)).(admit.Turn); ok {
 		return s.refuse(r, "overloaded", "the first token can't come in time", turn.RetryAfter)
 	}
-	commands := s.enqueue(now, r, best)
-	return append(commands, s.dispatch(now, best.target)...)
+	s.enqueue(now, r, best)
+	return s.dispatch(now, best.target)
 }
 
-func (s *State) enqueue(now time.Time, r *run, o offer) []Command {
-	r.target, r.phase, r.placed = o.target, waits, now
+func (s *State) enqueue(now time.Time, r *run, o offer) {
+	r.target, r.phase, r.placed, r.brought = o.target, waits, now, false
 	s.waiting++
 	o.target.queued[r.job.ID] = r
-	o.target.queue.Push(queue.Item{
+	r.item = queue.Item{
 		ID: r.job.ID, Flow: r.flow(), Weight: r.weight(), Cost: r.uncached(max(o.cached, o.from.depth)) + answerTokens,
-	})
-	if o.imports {
-		return s.bring(now, r, o)
 	}
-	return nil
+	o.target.queue.Push(r.item)
 }
 
 // dequeue takes a waiting request out of its engine's queue.
@@ -66,20 +63,26 @@
 		return
 	}
 	delete(r.target.queued, r.job.ID)
-	r.target.queue.Remove(r.job.ID)
+	r.target.queue.Remove(r.item)
 	s.waiting--
 	s.endImport(r)
 }
 
-// dispatch sends waiting requests to an engine while it has room.
+// dispatch sends waiting requests to an engine while it has room. One whose
+// blocks should be imported first waits on while others go.
 func (s *State) dispatch(now time.Time, t *target) []Command {
 	var commands []Command
 	for t.queue.Len() > 0 && t.usable(now) && !t.load.Full(now) && t.load.Prefill(now) < maxAhead {
-		item, ok := t.queue.Pop(func(item queue.Item) (float64, bool) { return s.rank(now, t, t.queued[item.ID]) })
+		item, ok := t.queue.Next(func(item queue.Item) (float64, bool) { return s.rank(now, t, t.queued[item.ID]) })
 		if !ok {
 			break
 		}
 		r := t.queued[item.ID]
+		if from, ok := s.worthImport(now, r); ok {
+			commands = append(commands, s.bring(now, r, from))
+			continue
+		}
+		t.queue.Take(item)
 		delete(t.queued, item.ID)
 		s.waiting--
 		commands = append(commands, s.send(now, r))
--- a/internal/route/queue/queue.go
+++ b/internal/route/queue/queue.go
@@ -27,10 +27,12 @@
 //
 //	var q queue.Queue
 //	q.Push(queue.Item{ID: "a", Flow: "members", Weight: 2, Cost: 400})
-//	item, ok := q.Pop(func(queue.Item) (float64, bool) { return 0, true })
+//	item, ok := q.Next(func(queue.Item) (float64, bool) { return 0, true })
+//	q.Take(item)
 type Queue struct {
 	flows  map[string]*flow
 	names  []string
+	order  []string
 	now    float64
 	length int
 	cost   int
@@ -71,28 +73,33 @@
 	q.cost += item.Cost
 }
 
-// Pop removes and returns the next item. The flow is the first in fair order
-// that has an item which may run; within it, rank decides among the oldest
-// items: the highest goes first. The second result of rank is false for an item
-// that may not run now.
-func (q *Queue) Pop(rank func(Item) (float64, bool)) (Item, bool) {
-	order := slices.Clone(q.names)
-	slices.SortStableFunc(order, func(a, b string) int { return cmp.Compare(q.flows[a].finish, q.flows[b].finish) })
-	for _, name := range order {
+// Next returns the item that should run next and leaves it in the queue. The
+// flow is the first in fair order that has an item which may run; within it,
+// rank decides among the oldest items: the highest goes first. The second result
+// of rank is false for an item that may not run now.
+func (q *Queue) Next(rank func(Item) (float64, bool)) (Item, bool) {
+	q.order = append(q.order[:0], q.names...)
+	slices.SortStableFunc(q.order, func(a, b string) int { return cmp.Compare(q.flows[a].finish, q.flows[b].finish) })
+	for _, name := range q.order {
 		f := q.flows[name]
-		at := best(f.items[:min(len(f.items), scanned)], rank)
-		if at < 0 {
-			continue
+		if at := best(f.items[:min(len(f.items), scanned)], rank); at >= 0 {
+			return f.items[at], true
 		}
-		item := f.items[at]
-		q.now = max(q.now, f.finish)
-		f.finish += float64(item.Cost) / item.Weight
-		q.take(name, at)
-		return item, true
 	}
 	return Item{}, false
 }
 
+// Take removes an item that runs now and charges its flow for it.
+func (q *Queue) Take(item Item) {
+	f, ok := q.flows[item.Flow]
+	if !ok {
+		return
+	}
+	q.now = max(q.now, f.finish)
+	f.finish += float64(item.Cost) / item.Weight
+	q.Remove(item)
+}
+
 func best(items []Item, rank func(Item) (float64, bool)) int {
 	at, highest := -1, 0.0
 	for i, item := range items {
@@ -103,16 +110,18 @@
 	return at
 }
 
-// Remove takes an item out, wherever it stands.
-func (q *Queue) Remove(id string) bool {
-	for _, name := range q.names {
-		at := slices.IndexFunc(q.flows[name].items, func(i Item) bool { return i.ID == id })
-		if at >= 0 {
-			q.take(name, at)
-			return true
-		}
+// Remove takes an item out without charging its flow.
+func (q *Queue) Remove(item Item) bool {
+	f, ok := q.flows[item.Flow]
+	if !ok {
+		return false
+	}
+	at := slices.IndexFunc(f.items, func(i Item) bool { return i.ID == item.ID })
+	if at < 0 {
+		return false
 	}
-	return false
+	q.take(f, at)
+	return true
 }
 
 // Ahead returns the work that will be done before a new item of a flow: that of
@@ -157,8 +166,7 @@
 	return ids
 }
 
-func (q *Queue) take(name string, at int) {
-	f := q.flows[name]
+func (q *Queue) take(f *flow, at int) {
 	q.cost -= f.items[at].Cost
 	f.cost -= f.items[at].Cost
 	q.length--
