Keep no more calls at an engine than its batch takes

Cause: an engine whose batch is full takes calls until its own queue is full too, and orders them itself; a small workspace waits there behind a flood.

Change: when a report tells of calls that wait beside a batch of eight or more, the limit on calls falls to the batch; it grows again with reports of no waiting.

--- a/internal/route/load/load.go
+++ b/internal/route/load/load.go
@@ -27,6 +27,10 @@
 	// one call each recovery.
 	openCalls = 1 << 20
 	recovery  = 2 * time.Second
+	// A batch of less than minBatch calls is not taken for full. Without calls
+	// that wait the limit grows by a part of limitGrowth with each report.
+	minBatch    = 8
+	limitGrowth = 8
 )
 
 // Engine is the estimate for one engine. See [New].
@@ -123,6 +127,7 @@
 func (e *Engine) Report(now time.Time, report engine.Load) {
 	at := now.Add(-report.Age)
 	own := e.at(at)
+	e.slots(now, report)
 	e.foreign = sample{
 		at:      now,
 		prefill: max(0, report.PrefillTokens-own.prefill),
@@ -130,6 +135,17 @@
 	}
 }
 
+// slots limits the calls to the engine's batch while calls wait for a place in
+// it, where their order can't be changed any more.
+func (e *Engine) slots(now time.Time, report engine.Load) {
+	switch {
+	case report.Waiting > 0 && report.Running >= minBatch:
+		e.limit, e.limited = min(e.limit, report.Running+1), now
+	case report.Waiting == 0 && e.limit < openCalls:
+		e.limit += max(1, e.limit/limitGrowth)
+	}
+}
+
 // Reset forgets the engine's work, as when it has restarted.
 func (e *Engine) Reset() { *e = Engine{base: e.base, rate: e.rate, limit: openCalls} }
 
