Let a workspace that was idle bring a burst before its share binds

Cause: a small workspace's second question had to wait until a flooding one of eight times its weight had been served eight times its first prompt; and its expected wait was taken from mean shares, so that it fled to engines that hold nothing.

Change: a flow that was idle may bring 40000 tokens by weight at once; the expected wait counts exactly what the other flows are owed before; a workspace within its share comes before others of its class in the engine's queue.

--- a/internal/route/cell/run.go
+++ b/internal/route/cell/run.go
@@ -38,6 +38,8 @@
 	sent   time.Time
 	placed time.Time
 	held   bool
+	// behind is true when the workspace has had less than its share.
+	behind bool
 	// importing are the blocks on their way to the engine, until importUntil.
 	importing []uint64
 	// brought is true once an import was tried for the present engine.
@@ -52,6 +54,7 @@
 	batchWeight       = 0.1
 	batchClass        = "batch"
 	batchPriority     = 10
+	overPriority      = 1
 	// answerTokens is what an answer costs beside its prompt when workspaces
 	// share engines.
 	answerTokens = 200
@@ -77,11 +80,17 @@
 	return share * interactiveWeight
 }
 
+// priority follows from the class; a workspace that has had more than its share
+// comes after the others of its class.
 func (r *run) priority() int {
+	priority := 0
 	if r.job.Class == batchClass {
-		return batchPriority
+		priority = batchPriority
 	}
-	return 0
+	if !r.behind {
+		priority += overPriority
+	}
+	return priority
 }
 
 func (r *run) hasTried(name string) bool { return slices.Contains(r.tried, name) }
--- a/internal/route/cell/work.go
+++ b/internal/route/cell/work.go
@@ -82,6 +82,7 @@
 			commands = append(commands, s.bring(now, r, from))
 			continue
 		}
+		r.behind = t.queue.Behind(item.Flow)
 		t.queue.Take(item)
 		delete(t.queued, item.ID)
 		s.waiting--
--- a/internal/route/queue/queue.go
+++ b/internal/route/queue/queue.go
@@ -11,6 +11,10 @@
 // scanned is the number of a flow's oldest items that are compared.
 const scanned = 32
 
+// burst is the work, by weight, that a flow may bring at once after it was idle,
+// before it waits for its share.
+const burst = 40000.0
+
 // Item is a waiting request.
 type Item struct {
 	// ID identifies the request.
@@ -58,13 +62,13 @@
 	}
 	f, ok := q.flows[item.Flow]
 	if !ok {
-		f = &flow{finish: q.now}
+		f = &flow{finish: q.now - burst}
 		q.flows[item.Flow] = f
 		at, _ := slices.BinarySearch(q.names, item.Flow)
 		q.names = slices.Insert(q.names, at, item.Flow)
 	}
 	if len(f.items) == 0 {
-		f.finish = max(f.finish, q.now)
+		f.finish = max(f.finish, q.now-burst)
 	}
 	f.weight = item.Weight
 	f.items = append(f.items, item)
@@ -125,19 +129,28 @@
 }
 
 // Ahead returns the work that will be done before a new item of a flow: that of
-// the flow itself and the part that the other flows get meanwhile.
+// the flow itself and what the other flows are owed until its turn.
 func (q *Queue) Ahead(name string, weight float64) int {
-	own, weights := 0, 0.0
+	turn, own := q.now-burst, 0
 	if f, ok := q.flows[name]; ok {
 		own = f.cost
+		turn = max(f.finish, turn) + float64(own)/weight
 	}
+	ahead := own
 	for _, other := range q.names {
-		if other != name {
-			weights += q.flows[other].weight
+		f := q.flows[other]
+		if other == name || f.finish >= turn {
+			continue
 		}
+		ahead += min(f.cost, int((turn-f.finish)*f.weight))
 	}
-	others := float64(own+meanCost(q)) * weights / weight
-	return own + min(q.cost-own, int(others))
+	return ahead
+}
+
+// Behind reports whether a flow has had less than its share lately.
+func (q *Queue) Behind(name string) bool {
+	f, ok := q.flows[name]
+	return !ok || f.finish < q.now
 }
 
 // Longest returns the last item of the flow with the most work for its weight.
@@ -178,17 +191,10 @@
 func (q *Queue) trim() {
 	q.names = slices.DeleteFunc(q.names, func(name string) bool {
 		f := q.flows[name]
-		idle := len(f.items) == 0 && (q.length == 0 || f.finish <= q.now)
+		idle := len(f.items) == 0 && (q.length == 0 || f.finish <= q.now-burst)
 		if idle {
 			delete(q.flows, name)
 		}
 		return idle
 	})
 }
-
-func meanCost(q *Queue) int {
-	if q.length == 0 {
-		return 0
-	}
-	return q.cost / q.length
-}
