Move a waiting request only for a clear gain, and give credit in tokens

Cause: requests of a small workspace beside a flood were moved every 200 ms between engines and never got to the head of a queue; the credit for an idle flow grew with its weight and was renewed whenever a queue ran empty, so the flood got it too.

Change: a move must save 30 % and 300 ms; the credit is 40000 tokens for each flow and is remembered while the queue is empty; a workspace within its share may go beyond an engine's bounds by a margin, since the engine's own queue puts it first.

--- a/internal/route/cell/learn.go
+++ b/internal/route/cell/learn.go
@@ -9,8 +9,10 @@
 	moveAfter = 200 * time.Millisecond
 	// maxMoves bounds the requests reconsidered in one tick.
 	maxMoves = 64
-	// moveGain is the part of the cost that a move must save.
-	moveGain = 0.2
+	// moveGain and moveCost are the part of the cost and the time that a move
+	// must save.
+	moveGain = 0.3
+	moveCost = 300 * time.Millisecond
 )
 
 // replace takes a new list of engines. What is known of engines that stay is
@@ -145,7 +147,7 @@
 	from := r.target
 	best := s.choose(now, r)
 	stay := s.offer(now, r, from, s.recompute(), source{})
-	if best.target == nil || best.target == from || best.cost > stay.cost*(1-moveGain) {
+	if best.target == nil || best.target == from || best.cost > min(stay.cost*(1-moveGain), stay.cost-moveCost.Seconds()) {
 		return nil
 	}
 	s.dequeue(r)
--- a/internal/route/cell/work.go
+++ b/internal/route/cell/work.go
@@ -13,6 +13,9 @@
 	// maxAhead are the prompt tokens that an engine may have before it; more
 	// wait here, where their order can still change.
 	maxAhead = 4000
+	// extraAhead and extraCalls are the bounds for workspaces that are behind.
+	extraAhead = 3 * maxAhead
+	extraCalls = 8
 	// noEngineRetry is the wait told when no engine can be used.
 	noEngineRetry = time.Second
 )
@@ -72,9 +75,9 @@
 // blocks should be imported first waits on while others go.
 func (s *State) dispatch(now time.Time, t *target) []Command {
 	var commands []Command
-	for t.queue.Len() > 0 && t.usable(now) && !t.load.Full(now) && t.load.Prefill(now) < maxAhead {
+	for t.queue.Len() > 0 && t.usable(now) {
 		item, ok := t.queue.Next(func(item queue.Item) (float64, bool) { return s.rank(now, t, t.queued[item.ID]) })
-		if !ok {
+		if !ok || !t.hasRoom(now, t.queue.Behind(item.Flow)) {
 			break
 		}
 		r := t.queued[item.ID]
@@ -91,6 +94,16 @@
 	return commands
 }
 
+// hasRoom reports whether the engine should get another request now. One of a
+// workspace that is behind its share may go beyond, since the engine's own queue
+// puts it first.
+func (t *target) hasRoom(now time.Time, behind bool) bool {
+	if behind {
+		return !t.load.Full(now, extraCalls) && t.load.Prefill(now) < extraAhead
+	}
+	return !t.load.Full(now, 0) && t.load.Prefill(now) < maxAhead
+}
+
 // rank orders the waiting requests of one flow by their response ratio: those
 // whose prompt is cached go first, while it is, and none waits forever.
 func (s *State) rank(now time.Time, t *target, r *run) (float64, bool) {
--- a/internal/route/load/load.go
+++ b/internal/route/load/load.go
@@ -97,13 +97,14 @@
 	return time.Duration(float64(e.Prefill(now)) * e.rate * float64(time.Second))
 }
 
-// Full reports whether the engine would answer that it is busy.
-func (e *Engine) Full(now time.Time) bool {
+// Full reports whether the engine has more calls than its batch takes by the
+// number extra.
+func (e *Engine) Full(now time.Time, extra int) bool {
 	for e.limit < openCalls && now.Sub(e.limited) >= recovery {
 		e.limit++
 		e.limited = e.limited.Add(recovery)
 	}
-	return e.Calls(now) >= e.limit
+	return e.Calls(now) >= e.limit+extra
 }
 
 // Busy takes the engine's word that it is full.
--- a/internal/route/queue/queue.go
+++ b/internal/route/queue/queue.go
@@ -11,9 +11,13 @@
 // scanned is the number of a flow's oldest items that are compared.
 const scanned = 32
 
-// burst is the work, by weight, that a flow may bring at once after it was idle,
-// before it waits for its share.
-const burst = 40000.0
+const (
+	// burst is the work that a flow may bring at once after it was idle, before
+	// it waits for its share.
+	burst = 40000.0
+	// keptFlows bounds the idle flows that are remembered.
+	keptFlows = 4096
+)
 
 // Item is a waiting request.
 type Item struct {
@@ -62,13 +66,13 @@
 	}
 	f, ok := q.flows[item.Flow]
 	if !ok {
-		f = &flow{finish: q.now - burst}
+		f = &flow{finish: q.now - burst/item.Weight}
 		q.flows[item.Flow] = f
 		at, _ := slices.BinarySearch(q.names, item.Flow)
 		q.names = slices.Insert(q.names, at, item.Flow)
 	}
 	if len(f.items) == 0 {
-		f.finish = max(f.finish, q.now-burst)
+		f.finish = max(f.finish, q.now-burst/item.Weight)
 	}
 	f.weight = item.Weight
 	f.items = append(f.items, item)
@@ -131,7 +135,7 @@
 // Ahead returns the work that will be done before a new item of a flow: that of
 // the flow itself and what the other flows are owed until its turn.
 func (q *Queue) Ahead(name string, weight float64) int {
-	turn, own := q.now-burst, 0
+	turn, own := q.now-burst/weight, 0
 	if f, ok := q.flows[name]; ok {
 		own = f.cost
 		turn = max(f.finish, turn) + float64(own)/weight
@@ -191,7 +195,7 @@
 func (q *Queue) trim() {
 	q.names = slices.DeleteFunc(q.names, func(name string) bool {
 		f := q.flows[name]
-		idle := len(f.items) == 0 && (q.length == 0 || f.finish <= q.now-burst)
+		idle := len(f.items) == 0 && (f.finish <= q.now-burst/f.weight || len(q.names) > keptFlows)
 		if idle {
 			delete(q.flows, name)
 		}
