Bound the imports into an engine

Cause: a flood whose ledgers are evicted fills the KV store's link with imports, and a small workspace's request waited up to 14 s for its own.

Change: two imports at a time into one engine, two more for workspaces that are within their share; others wait in the fair queue.

--- a/internal/route/cell/bring.go
+++ b/internal/route/cell/bring.go
@@ -18,6 +18,11 @@
 	importWeight = 0.2
 	// importTimeout is how long a request waits for an import.
 	importTimeout = 5 * time.Second
+	// maxImports bounds the imports of one engine; a workspace that is behind its
+	// share may go beyond by extraImports.
+	maxImports   = 2
+	extraImports = 2
+	importPause  = 20 * time.Millisecond
 	// storeBackOff is how long the KV store is left alone after a failure.
 	storeBackOff = 5 * time.Second
 	// minImport is the least number of blocks worth an import.
@@ -113,6 +118,15 @@
 	return from, s.importTime(blocks)*(1+importWeight) < compute*(1+s.recompute())
 }
 
+// canImport reports whether another import into an engine may start. Imports
+// share the KV store, where no order between workspaces is kept.
+func (s State) canImport(t *target, behind bool) bool {
+	if behind {
+		return t.imports < maxImports+extraImports
+	}
+	return t.imports < maxImports
+}
+
 // bring starts an import for a waiting request. Others who need the same blocks
 // wait for it too.
 func (s *State) bring(now time.Time, r *run, from source) Command {
@@ -124,6 +138,7 @@
 	r.importing, r.brought = blocks, true
 	r.importUntil = now.Add(importTimeout)
 	s.count.Imports++
+	t.imports++
 	command := Import{
 		Job: r.job.ID, Target: t.Name, Incarnation: t.cache.Incarnation(), Workspace: r.job.Workspace,
 		WeightVersion: r.job.WeightVersion, Blocks: r.job.Blocks[:from.depth],
@@ -136,6 +151,10 @@
 
 // endImport lets a request and those that waited with it go on.
 func (s *State) endImport(r *run) {
+	if r.importing == nil {
+		return
+	}
+	r.target.imports--
 	for _, block := range r.importing {
 		if r.target.leads[block] == r.job.ID {
 			delete(r.target.leads, block)
--- a/internal/route/cell/run.go
+++ b/internal/route/cell/run.go
@@ -42,6 +42,8 @@
 	behind bool
 	// importing are the blocks on their way to the engine, until importUntil.
 	importing []uint64
+	// pausedUntil is when the request may try again to import blocks.
+	pausedUntil time.Time
 	// brought is true once an import was tried for the present engine.
 	brought bool
 	// item is the request's place in the engine's queue.
--- a/internal/route/cell/target.go
+++ b/internal/route/cell/target.go
@@ -23,6 +23,7 @@
 	leads    map[uint64]string
 	backOff  time.Time
 	failures int
+	imports  int
 	fetched  time.Time
 }
 
--- a/internal/route/cell/work.go
+++ b/internal/route/cell/work.go
@@ -82,7 +82,11 @@
 		}
 		r := t.queued[item.ID]
 		if from, ok := s.worthImport(now, r); ok {
-			commands = append(commands, s.bring(now, r, from))
+			if s.canImport(t, t.queue.Behind(item.Flow)) {
+				commands = append(commands, s.bring(now, r, from))
+			} else {
+				r.pausedUntil = now.Add(importPause)
+			}
 			continue
 		}
 		r.behind = t.queue.Behind(item.Flow)
@@ -107,7 +111,7 @@
 // rank orders the waiting requests of one flow by their response ratio: those
 // whose prompt is cached go first, while it is, and none waits forever.
 func (s *State) rank(now time.Time, t *target, r *run) (float64, bool) {
-	if s.mustHold(t, r) {
+	if now.Before(r.pausedUntil) || s.mustHold(t, r) {
 		return 0, false
 	}
 	own := float64(r.uncached(t.cache.Depth(r.job.Blocks))) * t.load.Rate()
