Copy hot prefixes to further engines before queues grow

Cause: a hot prefix was copied only once a request found the queue at its holder longer than an import.

Change: the work that requests bring for each level, found from the traffic, is measured with hysteresis; while a prefix lies on fewer engines than its work wants, it is copied to its next computed owner, one copy at a time.

--- a/internal/route/cell/bring.go
+++ b/internal/route/cell/bring.go
@@ -167,6 +167,10 @@
 // still the one that was asked, serves the weights that computed them, and the
 // request still waits for it.
 func (s *State) imported(now time.Time, m Imported) []Command {
+	if m.Job == "" {
+		s.endSpread(now, m)
+		return nil
+	}
 	if m.Blocks == 0 {
 		s.store.avoid = now.Add(storeBackOff)
 	}
--- a/internal/route/cell/cell.go
+++ b/internal/route/cell/cell.go
@@ -37,17 +37,18 @@
 
 // State is everything that the slice remembers.
 type State struct {
-	targets []*target
-	running map[string]*run
-	waiting int
-	random  *rand.Rand
-	finder  *level.Finder
-	meter   *heat.Meter
-	budget  *budget.Budget
-	weights weights
-	owners  owners
-	store   *store
-	count   Counts
+	targets   []*target
+	running   map[string]*run
+	waiting   int
+	random    *rand.Rand
+	finder    *level.Finder
+	meter     *heat.Meter
+	budget    *budget.Budget
+	weights   weights
+	owners    owners
+	store     *store
+	spreading *spreading
+	count     Counts
 }
 
 // Counts are the slice's counters since its start.
@@ -64,6 +65,8 @@
 	Moved uint64
 	// Imports counts imports of cached work.
 	Imports uint64
+	// Spread counts copies of hot prefixes.
+	Spread uint64
 	// Gaps counts gaps in the engines' cache events.
 	Gaps uint64
 }
@@ -83,7 +86,7 @@
 func New(options ...Option) State {
 	s := State{
 		running: map[string]*run{}, finder: level.New(levelBlocks), meter: heat.New(hotPrefixes),
-		budget: budget.New(), store: newStore(), weights: newWeights(0, 0),
+		budget: budget.New(), store: newStore(), spreading: &spreading{}, weights: newWeights(0, 0),
 	}
 	WithSeed(0)(&s)
 	for _, option := range options {
--- a/internal/route/cell/work.go
+++ b/internal/route/cell/work.go
@@ -94,6 +94,7 @@
 		delete(t.queued, item.ID)
 		s.waiting--
 		commands = append(commands, s.send(now, r))
+		commands = append(commands, s.spread(now, r)...)
 	}
 	return commands
 }
