Relay a stream whole across attempts, hedges and restarts

One goroutine owns a request; each attempt has its own with an identity that no other shares. Late, repeated and crossed events are dropped, a stalled engine is given up and the stream goes on elsewhere at its offset, only on the same weights and adapter version. A caller may reconnect with Last-Event-ID. The engine is told of a cancel at once. 'Not run' is said only when no attempt may have run: before, a refusal after a cut attempt said it.

Ways weighed: relaying through a channel to the owner costs a goroutine switch for each event; events are written from the attempt's goroutine under a lock instead. Keeping the text so far for the next engine costs memory for each stream; engines resume at an offset, and the same weights are the proof.

Shown by tables and a property over random faults in virtual time.

--- a/internal/entry/front/answer.go
+++ b/internal/entry/front/answer.go
@@ -1,12 +1,15 @@
 package front
 
 import (
+	"errors"
 	"net/http"
+	"os"
 	"strconv"
 
 	"github.com/cicadamill/cicadamill/internal/entry/chat"
 	"github.com/cicadamill/cicadamill/internal/entry/fault"
 	"github.com/cicadamill/cicadamill/internal/route/job"
+	"github.com/cicadamill/cicadamill/internal/safety/effect"
 	"github.com/cicadamill/cicadamill/internal/target/engine"
 )
 
@@ -18,7 +21,7 @@
 		case engine.Accepted:
 			setAnswerHeaders(w.Header(), e)
 		case engine.Token:
-			return answer.Add(e.Data)
+			return badAnswer(answer.Add(e.Data))
 		}
 		return nil
 	})
@@ -35,74 +38,33 @@
 	_, _ = w.Write(encoded)
 }
 
-// stream answers a request with server-sent events.
-func (h *Handler) stream(w http.ResponseWriter, r *http.Request, j job.Job) {
-	out := &writer{w: w, flusher: http.NewResponseController(w)}
-	err := h.runner.Run(r.Context(), j, out.event)
+func badAnswer(err error) error {
 	if err == nil {
-		return
-	}
-	if !out.begun {
-		fault.Write(w, err)
-		return
-	}
-	out.fail(err)
-}
-
-// writer encodes events for a caller. The head of the answer goes out with the
-// first chunk, so that until then another engine may still take over.
-type writer struct {
-	w       http.ResponseWriter
-	flusher *http.ResponseController
-	begun   bool
-	buffer  []byte
-}
-
-func (s *writer) event(event engine.Event) error {
-	switch e := event.(type) {
-	case engine.Accepted:
-		if !s.begun {
-			setAnswerHeaders(s.w.Header(), e)
-		}
-		return nil
-	case engine.Token:
-		return s.token(e)
-	case engine.Done:
-		return s.write(append(s.buffer[:0], "data: [DONE]\n\n"...))
-	default:
 		return nil
 	}
+	return &fault.Error{Code: "badAnswer", Status: http.StatusBadGateway, Outcome: effect.Unknown{Reason: "the engine's answer can't be read"}, Message: err.Error()}
 }
 
-func (s *writer) token(e engine.Token) error {
-	s.buffer = append(s.buffer[:0], "id: "...)
-	s.buffer = strconv.AppendInt(s.buffer, int64(e.Offset), 10)
-	s.buffer = append(s.buffer, "\ndata: "...)
-	s.buffer = append(s.buffer, e.Data...)
-	s.buffer = append(s.buffer, "\n\n"...)
-	return s.write(s.buffer)
-}
-
-// fail tells a caller who already has a part of the answer that no more comes.
-func (s *writer) fail(err error) {
-	data := append([]byte("event: error\ndata: "), fault.Encode(err)...)
-	_ = s.write(append(data, "\n\n"...))
-}
-
-func (s *writer) write(data []byte) error {
-	if !s.begun {
-		s.begun = true
-		s.w.Header().Set("Content-Type", "text/event-stream")
-		s.w.Header().Set("Cache-Control", "no-store")
-	}
-	if _, err := s.w.Write(data); err != nil {
-		return err
+// stream answers a request with server-sent events.
+func (h *Handler) stream(w http.ResponseWriter, r *http.Request, j job.Job) {
+	out := newWriter(w, j)
+	err := h.runner.Run(r.Context(), j, out.event)
+	out.close()
+	switch {
+	case err == nil:
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		h.scope.Counter("slow_callers").Inc(1)
+		panic(http.ErrAbortHandler)
+	case !out.begun:
+		fault.Write(w, err)
+	case out.fail(err) != nil:
+		panic(http.ErrAbortHandler)
 	}
-	return s.flusher.Flush()
 }
 
 func setAnswerHeaders(header http.Header, e engine.Accepted) {
 	header.Set("X-Cicadamill-Engine", e.Engine)
+	header.Set("X-Cicadamill-Weight-Version", e.WeightVersion)
 	header.Set("X-Cicadamill-Cached-Tokens", strconv.Itoa(e.CachedTokens))
 	header.Set("X-Cicadamill-Prompt-Tokens", strconv.Itoa(e.PromptTokens))
 }
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -12,12 +12,14 @@
 	"slices"
 	"strconv"
 
+	"github.com/uber-go/tally/v4"
 	"github.com/zeebo/xxh3"
 
 	"github.com/cicadamill/cicadamill/internal/config/site"
 	"github.com/cicadamill/cicadamill/internal/entry/auth"
 	"github.com/cicadamill/cicadamill/internal/entry/chat"
 	"github.com/cicadamill/cicadamill/internal/entry/fault"
+	"github.com/cicadamill/cicadamill/internal/entry/resume"
 	"github.com/cicadamill/cicadamill/internal/route/chain"
 	"github.com/cicadamill/cicadamill/internal/route/job"
 	"github.com/cicadamill/cicadamill/internal/safety/effect"
@@ -36,14 +38,24 @@
 	node   string
 	config func() site.Config
 	runner Runner
+	scope  tally.Scope
 	mux    *http.ServeMux
 }
 
+// Option changes a [Handler].
+type Option func(*Handler)
+
+// WithScope sets where counters go.
+func WithScope(scope tally.Scope) Option { return func(h *Handler) { h.scope = scope } }
+
 // New returns a handler. The function config returns the configuration in force.
 //
 //	handler := front.New("node-1", applied.Config, runner)
-func New(node string, config func() site.Config, runner Runner) *Handler {
-	h := &Handler{node: node, config: config, runner: runner, mux: http.NewServeMux()}
+func New(node string, config func() site.Config, runner Runner, options ...Option) *Handler {
+	h := &Handler{node: node, config: config, runner: runner, scope: tally.NoopScope, mux: http.NewServeMux()}
+	for _, option := range options {
+		option(h)
+	}
 	h.mux.HandleFunc("POST /v1/chat/completions", h.serveChat)
 	h.mux.HandleFunc("GET /v1/models", h.serveModels)
 	return h
@@ -69,6 +81,10 @@
 		fault.Write(w, err)
 		return
 	}
+	if err := goOn(r.Header, &j); err != nil {
+		fault.Write(w, err)
+		return
+	}
 	w.Header().Set("X-Request-Id", j.ID)
 	w.Header().Set("X-Cicadamill-Node", h.node)
 	if request.Stream {
@@ -100,16 +116,53 @@
 		return job.Job{}, &fault.Error{Code: "unknownApplication", Status: http.StatusNotFound, Outcome: effect.NotRun{}, Message: "this workspace has no application " + strconv.Quote(request.Model)}
 	}
 	model := findModel(config, application.Model)
-	seed := chain.Seed{Workspace: workspace.Name, Model: model.Name, Adapter: application.Adapter, WeightVersion: model.WeightVersion}
+	adapter := adapterOf(model, application.Adapter)
+	seed := chain.Seed{Workspace: workspace.Name, Model: model.Name, Adapter: adapter, WeightVersion: model.WeightVersion}
 	return job.Job{
 		ID: rand.Text(), Workspace: workspace.Name, Class: workspace.Class, Share: workspace.Share,
-		Application: application.Name, Model: model.Name, Adapter: application.Adapter, WeightVersion: model.WeightVersion,
+		Application: application.Name, Model: model.Name, Adapter: adapter, WeightVersion: model.WeightVersion,
 		Blocks: chain.Hash(seed, request.Prompt, model.BlockTokens), BlockTokens: model.BlockTokens,
 		PromptTokens: chain.Tokens(request.Prompt), MaxTokens: request.MaxTokens,
 		Fingerprint: xxh3.HashSeed(request.Prompt, xxh3.HashString(workspace.Name)), Body: request.Body,
 	}, nil
 }
 
+// goOn reads the position from which a caller who reconnects wants the rest of
+// its answer. It must ask the same again; the weights that began the answer
+// must finish it.
+func goOn(header http.Header, j *job.Job) error {
+	id := header.Get("Last-Event-ID")
+	if id == "" {
+		return nil
+	}
+	point, err := resume.Parse(id)
+	if err != nil {
+		return &fault.Error{Code: "badRequest", Status: http.StatusBadRequest, Outcome: effect.NotRun{}, Message: err.Error()}
+	}
+	if point.Digest != resume.Digest(*j) {
+		return notResumable("the event ID is of another request: send the same body, model and key again")
+	}
+	if point.WeightVersion != j.WeightVersion {
+		return notResumable("the weights have changed since; ask again without Last-Event-ID")
+	}
+	j.Offset = point.Offset + 1
+	return nil
+}
+
+func notResumable(message string) error {
+	return &fault.Error{Code: "notResumable", Status: http.StatusConflict, Outcome: effect.NotRun{}, Message: message}
+}
+
+// adapterOf names an adapter with its version, so that another version of it
+// shares no cached block and continues no stream.
+func adapterOf(model site.Model, name string) string {
+	at := slices.IndexFunc(model.Adapters, func(a site.Adapter) bool { return a.Name == name })
+	if at < 0 || model.Adapters[at].Version == "" {
+		return name
+	}
+	return name + "@" + model.Adapters[at].Version
+}
+
 func findApplication(config site.Config, workspace site.Workspace, name string) (site.Application, bool) {
 	if !slices.Contains(workspace.Applications, name) {
 		return site.Application{}, false
--- a/internal/node/flow/flow.go
+++ b/internal/node/flow/flow.go
@@ -1,163 +1,109 @@
 // Package flow carries one request through its life: it asks the cell for an
-// engine, runs the attempt, relays the answer and tells the cell what happened.
+// engine, runs the attempts, relays the answer and tells the cell what
+// happened.
 package flow
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
 
 	"github.com/cicadamill/cicadamill/internal/entry/fault"
+	"github.com/cicadamill/cicadamill/internal/node/guard"
 	"github.com/cicadamill/cicadamill/internal/node/loop"
-	"github.com/cicadamill/cicadamill/internal/route/cell"
 	"github.com/cicadamill/cicadamill/internal/route/job"
 	"github.com/cicadamill/cicadamill/internal/safety/effect"
-	"github.com/cicadamill/cicadamill/internal/safety/stream"
 	"github.com/cicadamill/cicadamill/internal/target/engine"
 )
 
+const (
+	defaultFirst  = time.Minute
+	defaultStall  = 10 * time.Second
+	cancelTimeout = 2 * time.Second
+	probeTimeout  = 500 * time.Millisecond
+	importTimeout = 2 * time.Second
+
+	statusCallerGone = 499
+)
+
 // Runner runs requests against the engines of one cell.
 type Runner struct {
-	loop *loop.Loop
-	dial func(target string) (engine.Client, bool)
+	loop  *loop.Loop
+	dial  func(target string) (engine.Client, bool)
+	guard *guard.Guard
+	scope tally.Scope
+	first time.Duration
+	stall time.Duration
 }
 
-// New returns a runner. The function dial finds the client of an engine.
-//
-//	runner := flow.New(cellLoop, clients.Find)
-//	err := runner.Run(ctx, request, sink)
-func New(l *loop.Loop, dial func(target string) (engine.Client, bool)) *Runner {
-	return &Runner{loop: l, dial: dial}
-}
+// Option changes a [Runner].
+type Option func(*Runner)
 
-// life is the state of one request while it runs.
-type life struct {
-	runner *Runner
-	job    job.Job
-	stream stream.State
-	first  bool
-	sink   func(engine.Event) error
-}
+// WithGuard shares the node's guard against requests that crash engines. All
+// runners of a node should share one.
+func WithGuard(g *guard.Guard) Option { return func(r *Runner) { r.guard = g } }
 
-// Run answers a request. Events reach sink in order, each once. A failure is a
-// [*fault.Error].
-func (r *Runner) Run(ctx context.Context, j job.Job, sink func(engine.Event) error) error {
-	mailbox, closeMailbox := r.loop.Open(j.ID)
-	defer closeMailbox()
-	if err := r.loop.Send(ctx, cell.Arrived{Job: j}); err != nil {
-		return gone(effect.NotRun{Reason: "the caller left"})
-	}
-	l := &life{runner: r, job: j, sink: sink}
-	for {
-		select {
-		case <-ctx.Done():
-			l.tell(cell.Cancelled{Job: j.ID})
-			return gone(effect.Unknown{Reason: "the caller left"})
-		case command := <-mailbox:
-			done, err := l.handle(ctx, command)
-			if done {
-				return err
-			}
-		}
-	}
-}
+// WithScope sets where counters go.
+func WithScope(scope tally.Scope) Option { return func(r *Runner) { r.scope = scope } }
 
-func (l *life) handle(ctx context.Context, command cell.Command) (bool, error) {
-	switch c := command.(type) {
-	case cell.Start:
-		err := l.attempt(ctx, c)
-		return l.stream.Ended(), err
-	case cell.Refuse:
-		return true, l.refusal(c)
-	default:
-		return false, nil
-	}
-}
+// WithFirst bounds the time to the first token of an attempt.
+func WithFirst(d time.Duration) Option { return func(r *Runner) { r.first = d } }
 
-func (l *life) attempt(ctx context.Context, start cell.Start) error {
-	l.stream = l.stream.Begin(start.Attempt)
-	l.first = false
-	client, ok := l.runner.dial(start.Target)
-	if !ok {
-		l.end(start, &engine.Error{Code: engine.Unreachable, Outcome: effect.NotRun{Reason: "no such engine"}, Target: start.Target})
-		return nil
-	}
-	call := engine.Call{
-		Attempt: fmt.Sprintf("%s.%d", l.job.ID, start.Attempt), Workspace: l.job.Workspace,
-		Adapter: l.job.Adapter, Body: l.job.Body, Priority: start.Priority, Offset: l.stream.Next(),
-		Incarnation: start.Incarnation, WeightVersion: l.weights(start),
-	}
-	err := client.Complete(ctx, call, func(event engine.Event) error { return l.event(start, event) })
-	l.end(start, err)
-	return nil
-}
-
-func (l *life) weights(start cell.Start) string {
-	if l.stream.Next() > 0 {
-		return l.stream.WeightVersion()
-	}
-	return start.WeightVersion
-}
+// WithStall bounds the time between two events of an attempt.
+func WithStall(d time.Duration) Option { return func(r *Runner) { r.stall = d } }
 
-func (l *life) event(start cell.Start, event engine.Event) error {
-	var verdict stream.Verdict
-	l.stream, verdict = l.stream.Update(start.Attempt, event)
-	switch v := verdict.(type) {
-	case stream.Drop:
-		return nil
-	case stream.Fail:
-		return &engine.Error{Code: engine.Broken, Outcome: effect.Unknown{Reason: v.Reason}, Target: start.Target, Message: v.Reason}
+// New returns a runner. The function dial finds the client of an engine.
+//
+//	runner := flow.New(cellLoop, clients.Find, flow.WithStall(5*time.Second))
+//	err := runner.Run(ctx, request, sink)
+func New(l *loop.Loop, dial func(target string) (engine.Client, bool), options ...Option) *Runner {
+	r := &Runner{loop: l, dial: dial, scope: tally.NoopScope, first: defaultFirst, stall: defaultStall}
+	for _, option := range options {
+		option(r)
 	}
-	l.observe(start, event)
-	return l.sink(event)
-}
-
-func (l *life) observe(start cell.Start, event engine.Event) {
-	switch e := event.(type) {
-	case engine.Accepted:
-		l.tell(cell.Started{Job: l.job.ID, Attempt: start.Attempt, Accepted: e})
-	case engine.Token:
-		if !l.first {
-			l.first = true
-			l.tell(cell.First{Job: l.job.ID, Attempt: start.Attempt})
-		}
-	case engine.Done:
-		l.tell(cell.Ended{Job: l.job.ID, Attempt: start.Attempt, Outcome: effect.Answered{}, Sent: l.stream.Next(), Done: e})
+	if r.guard == nil {
+		r.guard = guard.New(r.scope)
 	}
+	return r
 }
 
-// end tells the cell of an attempt that failed. An answered attempt has
-// already been told of with its [engine.Done].
-func (l *life) end(start cell.Start, err error) {
-	if err == nil || l.stream.Ended() {
-		return
+// Run answers a request. Events reach sink in order, each once, from one
+// goroutine at a time; [engine.Accepted] comes right before the first chunk. A
+// failure is a [*fault.Error], or the error of sink, which ends the request.
+// When Run returns, no attempt of the request runs any more on this node.
+func (r *Runner) Run(ctx context.Context, j job.Job, sink func(engine.Event) error) error {
+	if r.guard.Convicted(j.Fingerprint) {
+		return r.count(crashRequest(effect.NotRun{Reason: "the request crashes engines"}))
 	}
-	ended := cell.Ended{Job: l.job.ID, Attempt: start.Attempt, Outcome: effect.Unknown{Reason: err.Error()}, Code: engine.Broken, Sent: l.stream.Next()}
-	var failure *engine.Error
-	if errors.As(err, &failure) {
-		ended.Outcome, ended.Code, ended.RetryAfter = failure.Outcome, failure.Code, failure.RetryAfter
+	mailbox, closeMailbox := r.loop.Open(j.ID)
+	defer closeMailbox()
+	l := newLife(r, j, sink)
+	defer l.close()
+	if err := l.arrive(ctx); err != nil {
+		return r.count(err)
 	}
-	l.tell(ended)
+	return r.count(l.run(ctx, mailbox))
 }
 
-// tell never waits for the caller's context: the cell must learn of every end.
-func (l *life) tell(message cell.Message) {
-	_ = l.runner.loop.Send(context.Background(), message)
+// count counts the ends of requests by code.
+func (r *Runner) count(err error) error {
+	code := "answered"
+	if err != nil {
+		code = fault.From(err).Code
+	}
+	r.scope.Tagged(map[string]string{"code": code}).Counter("request_ends").Inc(1)
+	return err
 }
 
-func (l *life) refusal(c cell.Refuse) error {
-	failure := &fault.Error{
-		Code: c.Code, Status: http.StatusServiceUnavailable, Outcome: c.Outcome,
-		RetryAfter: c.RetryAfter, Message: c.Message,
-	}
-	if l.stream.Next() > 0 {
-		failure.Outcome = effect.Unknown{Reason: "a part of the answer was sent"}
+func crashRequest(outcome effect.Outcome) *fault.Error {
+	return &fault.Error{
+		Code: "crashRequest", Status: http.StatusUnprocessableEntity, Outcome: outcome,
+		Message: "engines that ran this request crashed; it is refused for some minutes",
 	}
-	return failure
 }
 
-func gone(outcome effect.Outcome) error {
-	const statusClientClosedRequest = 499
-	return &fault.Error{Code: "callerGone", Status: statusClientClosedRequest, Outcome: outcome, Message: "the caller closed the connection"}
+func callerGone(outcome effect.Outcome) *fault.Error {
+	return &fault.Error{Code: "callerGone", Status: statusCallerGone, Outcome: outcome, Message: "the caller closed the connection"}
 }
--- a/internal/route/job/job.go
+++ b/internal/route/job/job.go
@@ -40,6 +40,9 @@
 	Deadline time.Duration `json:"deadlineNanos,omitempty"`
 	// Fingerprint is the digest of workspace and content.
 	Fingerprint uint64 `json:"fingerprint"`
+	// Offset is the number of chunks that the caller has from an earlier
+	// connection; WeightVersion is then the version that computed them.
+	Offset int `json:"offset,omitempty"`
 	// Hops counts the nodes that have handed the request on.
 	Hops int `json:"hops,omitempty"`
 	// Body is the chat request as engines get it.
--- a/internal/safety/stream/stream.go
+++ b/internal/safety/stream/stream.go
@@ -36,6 +36,15 @@
 func (Drop) verdict() {}
 func (Fail) verdict() {}
 
+// From returns the position of a stream of which the caller has some chunks
+// from an earlier connection, computed by these weights.
+func From(weights string, next int) State {
+	if next == 0 {
+		return State{}
+	}
+	return State{weights: weights, next: next}
+}
+
 // Begin makes an attempt the current one. Events of any other are dropped from
 // now on.
 func (s State) Begin(attempt int) State {
@@ -74,7 +83,7 @@
 }
 
 func (s State) accept(e engine.Accepted) (State, Verdict) {
-	if s.next > 0 && e.WeightVersion != s.weights {
+	if s.next > 0 && (e.WeightVersion != s.weights || e.WeightVersion == "") {
 		return s, Fail{Reason: "the weights changed in the middle of the stream"}
 	}
 	s.weights = e.WeightVersion
--- a/internal/safety/stream/stream_test.go
+++ b/internal/safety/stream/stream_test.go
@@ -33,7 +33,12 @@
 		"late end":                {state: sent(2).Begin(2), attempt: 1, event: engine.Done{}, want: stream.Drop{}},
 		"resumed on same weights": {state: sent(2).Begin(2), attempt: 2, event: engine.Accepted{WeightVersion: "1"}, want: stream.Pass{}},
 		"resumed on new weights":  {state: sent(2).Begin(2), attempt: 2, event: engine.Accepted{WeightVersion: "2"}, want: stream.Fail{Reason: "the weights changed in the middle of the stream"}},
-		"restart before a chunk":  {state: sent(0).Begin(2), attempt: 2, event: engine.Accepted{WeightVersion: "2"}, want: stream.Pass{}},
+		"resumed on unnamed weights": {
+			state: stream.From("", 2).Begin(2), attempt: 2, event: engine.Accepted{}, want: stream.Fail{Reason: "the weights changed in the middle of the stream"},
+		},
+		"reconnected on same weights": {state: stream.From("1", 2).Begin(1), attempt: 1, event: engine.Accepted{WeightVersion: "1"}, want: stream.Pass{}},
+		"reconnected, repeated chunk": {state: stream.From("1", 2).Begin(1), attempt: 1, event: engine.Token{Offset: 1}, want: stream.Drop{}},
+		"restart before a chunk":      {state: sent(0).Begin(2), attempt: 2, event: engine.Accepted{WeightVersion: "2"}, want: stream.Pass{}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/target/engine/error.go
+++ b/internal/target/engine/error.go
@@ -26,6 +26,8 @@
 	Broken Code = "broken"
 	// Stalled means that the target sent nothing for too long.
 	Stalled Code = "stalled"
+	// Superseded means that another attempt of the same request answers.
+	Superseded Code = "superseded"
 	// Invalid means that the target refused the content of the request.
 	Invalid Code = "invalid"
 )
--- a/internal/target/remote/relay.go
+++ b/internal/target/remote/relay.go
@@ -6,28 +6,33 @@
 	"encoding/json"
 	"io"
 	"strconv"
+	"time"
 
 	"github.com/cicadamill/cicadamill/internal/safety/effect"
 	"github.com/cicadamill/cicadamill/internal/target/engine"
 )
 
 const (
-	readBufferBytes = 16 << 10
+	readBufferBytes = 4 << 10
+	drainTimeout    = 100 * time.Millisecond
+	maxMessage      = 256
 	maxLineBytes    = 1 << 20
 )
 
 var (
 	dataField  = []byte("data:")
 	idField    = []byte("id:")
+	errorEvent = []byte("event: error")
+	errorData  = []byte(`{"error":`)
 	endMarker  = []byte("[DONE]")
 	usageField = []byte(`"usage":{`)
 )
 
 // relay reads server-sent events and hands them on until the engine's own end.
-func (c *Client) relay(body io.Reader, offset int, sink func(engine.Event) error) error {
+func (c *Client) relay(body io.ReadCloser, offset int, sink func(engine.Event) error) error {
 	reader := bufio.NewReaderSize(body, readBufferBytes)
 	done := engine.Done{}
-	next := offset
+	next, failing := offset, false
 	for {
 		line, err := readLine(reader)
 		if err != nil {
@@ -37,13 +42,17 @@
 			next = eventID(value, next)
 			continue
 		}
+		failing = failing || bytes.Equal(line, errorEvent)
 		value, ok := bytes.CutPrefix(line, dataField)
 		if !ok {
 			continue
 		}
 		value = bytes.TrimSpace(value)
+		if failing || bytes.HasPrefix(value, errorData) {
+			return c.failure(engine.Broken, effect.Unknown{Reason: "the engine reported an error"}, string(value[:min(len(value), maxMessage)]))
+		}
 		if bytes.Equal(value, endMarker) {
-			return sink(done)
+			return finish(body, reader, sink(done))
 		}
 		if bytes.Contains(value, usageField) {
 			done = usage(value, done)
@@ -55,6 +64,22 @@
 	}
 }
 
+// finish reads the last bytes of an answer, so that its connection can serve
+// another call. One that doesn't end now, or has more to say, is closed.
+func finish(body io.ReadCloser, reader *bufio.Reader, err error) error {
+	if err != nil {
+		return err
+	}
+	timer := time.AfterFunc(drainTimeout, func() { _ = body.Close() })
+	defer timer.Stop()
+	for {
+		rest, err := reader.ReadSlice('\n')
+		if err != nil || len(bytes.TrimSpace(rest)) > 0 {
+			return nil
+		}
+	}
+}
+
 // readLine returns a line without its end. The result is valid until the next
 // read.
 func readLine(reader *bufio.Reader) ([]byte, error) {
--- a/internal/target/remote/remote.go
+++ b/internal/target/remote/remote.go
@@ -44,6 +44,9 @@
 	if response.StatusCode != http.StatusOK {
 		return c.refusal(response)
 	}
+	if echo := response.Header.Get("X-Attempt"); echo != "" && echo != call.Attempt {
+		return c.failure(engine.Broken, effect.Unknown{Reason: "the answer is another request's"}, "answer to attempt "+echo)
+	}
 	if err := sink(accepted(response.Header)); err != nil {
 		return err
 	}
--- a/internal/target/remote/remote_test.go
+++ b/internal/target/remote/remote_test.go
@@ -116,7 +116,17 @@
 		"closed before the head": func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
 		"closed without an end":  func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("data: {}\n\n")) },
 		"cut inside a chunk":     func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("data: {\"cho")) },
-		"bare server error":      func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) },
+		"error in the stream": func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte("data: {}\n\ndata: {\"error\":{}}\n\ndata: [DONE]\n\n"))
+		},
+		"error event": func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte("event: error\ndata: {}\n\ndata: [DONE]\n\n"))
+		},
+		"another's answer": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Attempt", "other")
+			_, _ = w.Write([]byte("data: {}\n\ndata: [DONE]\n\n"))
+		},
+		"bare server error": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) },
 	}
 	for name, handler := range tests {
 		t.Run(name, func(t *testing.T) {
