--- a/internal/standin/embed/embed.go
+++ b/internal/standin/embed/embed.go
@@ -81,7 +81,7 @@
 	return model.Options{
 		Name: name, Model: "quay-7b", WeightVersion: "1", BlockTokens: 2000, CacheBlocks: 64,
 		PrefillPerToken: 100 * time.Microsecond, DecodePerToken: 10 * time.Millisecond,
-		OutputTokens: 32, MaxRunning: 32,
+		OutputTokens: 32, MaxRunning: 32, MaxWaiting: 32,
 	}
 }
 
--- /dev/null
+++ b/internal/standin/model/bring.go
@@ -0,0 +1,70 @@
+package model
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cicadamill/cicadamill/internal/standin/cost"
+	"github.com/cicadamill/cicadamill/internal/target/engine"
+)
+
+// serveImport brings blocks in from another engine. What it is, is checked
+// again when they have come: the engine may have changed meanwhile.
+func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
+	var request engine.Import
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		refuse(w, http.StatusBadRequest, engine.Invalid, err.Error())
+		return
+	}
+	if e.isOther(request) {
+		refuse(w, http.StatusConflict, engine.Stale, "the engine has changed")
+		return
+	}
+	held, err := e.ask(r, request)
+	if err != nil || held.WeightVersion != request.WeightVersion {
+		refuse(w, http.StatusBadGateway, engine.Unreachable, "the source has no such blocks")
+		return
+	}
+	timer := time.NewTimer(time.Duration(len(held.Blocks)) * e.options.ImportPerBlock)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.Context().Done():
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if request.Incarnation != e.incarnation || request.WeightVersion != e.weights {
+		refuse(w, http.StatusConflict, engine.Stale, "the engine has changed")
+		return
+	}
+	e.apply(cost.Bring{Incarnation: e.batch.Incarnation(), Blocks: held.Blocks})
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) isOther(request engine.Import) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return request.Incarnation != e.incarnation || request.WeightVersion != e.weights
+}
+
+func (e *Engine) ask(r *http.Request, request engine.Import) (export, error) {
+	encoded, err := json.Marshal(export{WeightVersion: request.WeightVersion, Blocks: request.Blocks})
+	if err != nil {
+		return export{}, err
+	}
+	ask, err := http.NewRequestWithContext(r.Context(), http.MethodPost, "http://"+request.Source+"/cache/export", bytes.NewReader(encoded))
+	if err != nil {
+		return export{}, err
+	}
+	response, err := e.http.Do(ask)
+	if err != nil {
+		return export{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	var held export
+	err = json.NewDecoder(response.Body).Decode(&held)
+	return held, err
+}
--- a/internal/standin/model/control.go
+++ b/internal/standin/model/control.go
@@ -3,29 +3,50 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strconv"
+	"time"
 
+	"github.com/cicadamill/cicadamill/internal/standin/cost"
 	"github.com/cicadamill/cicadamill/internal/target/engine"
 )
 
+const keptLoads = 256
+
 func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	id := r.PathValue("id")
-	if stop, ok := e.running[id]; ok {
-		close(stop)
+	if c, ok := e.running[id]; ok {
+		c.lose()
 		delete(e.running, id)
+		e.apply(cost.Cancel{ID: id})
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// serveLoad reports the state of some time ago.
 func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	reply(w, engine.Load{
-		Engine: e.options.Name, Incarnation: e.incarnation, Model: e.options.Model,
-		WeightVersion: e.weights, Running: len(e.running), Leaving: e.leaving,
-	})
+	now := time.Now()
+	load := e.batch.Load()
+	load.Incarnation, load.Model, load.WeightVersion = e.incarnation, e.options.Model, e.weights
+	load.Leaving = e.leaving
+	e.loads = append(e.loads, timedLoad{Load: load, at: now})
+	if len(e.loads) > keptLoads {
+		e.loads = e.loads[1:]
+	}
+	reported := e.loads[0]
+	for _, l := range e.loads {
+		if now.Sub(l.at) >= e.options.LoadLag {
+			reported = l
+		}
+	}
+	reported.Age = now.Sub(reported.at)
+	// An incarnation can't lag: it is that of the process which answers.
+	reported.Incarnation = e.incarnation
+	reply(w, reported.Load)
 }
 
 func (e *Engine) serveEvents(w http.ResponseWriter, r *http.Request) {
@@ -38,8 +59,8 @@
 	defer e.mu.Unlock()
 	batch := engine.Batch{Incarnation: e.incarnation}
 	for _, event := range e.events {
-		if event.Seq > after {
-			batch.Events = append(batch.Events, event)
+		if event.Seq > after && time.Since(event.at) >= e.options.EventLag {
+			batch.Events = append(batch.Events, event.CacheEvent)
 		}
 	}
 	reply(w, batch)
@@ -48,57 +69,95 @@
 func (e *Engine) serveSnapshot(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	reply(w, engine.Snapshot{Incarnation: e.incarnation, Seq: e.seq, Blocks: e.cache.Keys()})
+	snapshot := e.batch.Snapshot()
+	snapshot.Incarnation = e.incarnation
+	reply(w, snapshot)
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	switch r.PathValue("kind") {
+	case "loadModel":
+		order(e, w, r, func(o engine.LoadModel) uint64 { return o.Fence }, e.loadModel)
+	case "loadAdapter":
+		order(e, w, r, func(o engine.LoadAdapter) uint64 { return o.Fence }, e.loadAdapter)
+	case "setRole":
+		order(e, w, r, func(o engine.SetRole) uint64 { return o.Fence }, e.setRole)
+	default:
+		refuse(w, http.StatusNotFound, engine.Invalid, "no such order")
+	}
 }
 
-func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
-	var request engine.Import
-	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+// order checks an order's fencing number and carries it out under the lock.
+func order[O any](e *Engine, w http.ResponseWriter, r *http.Request, fence func(O) uint64, run func(O)) {
+	var o O
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
 		refuse(w, http.StatusBadRequest, engine.Invalid, err.Error())
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if request.Incarnation != e.incarnation || request.WeightVersion != e.weights {
-		refuse(w, http.StatusConflict, engine.Stale, "the engine has changed")
+	if fence(o) < e.fence && !e.options.IgnoresFence {
+		refuse(w, http.StatusConflict, engine.Fenced, "a newer fencing number was seen")
 		return
 	}
-	for _, block := range request.Blocks {
-		if !e.cache.Contains(block) {
-			e.record(block, false)
-		}
-		e.cache.Add(block, struct{}{})
-	}
+	e.fence = max(e.fence, fence(o))
+	run(o)
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
-	switch r.PathValue("kind") {
-	case "loadModel":
-		e.loadModel(w, r)
-	case "loadAdapter", "setRole":
-		w.WriteHeader(http.StatusNoContent)
-	default:
-		refuse(w, http.StatusNotFound, engine.Invalid, "no such order")
+// loadModel takes effect after the time to load; until then no new call is
+// taken. Calls that run finish on the weights that they began with.
+func (e *Engine) loadModel(o engine.LoadModel) {
+	if e.options.WeightLoad == 0 {
+		e.weights = o.WeightVersion
+		return
 	}
+	e.loading = true
+	incarnation := e.incarnation
+	time.AfterFunc(e.options.WeightLoad, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.incarnation == incarnation {
+			e.weights, e.loading = o.WeightVersion, false
+		}
+	})
+}
+
+func (e *Engine) loadAdapter(o engine.LoadAdapter) { e.adapters[o.Adapter] = o.Version }
+
+func (e *Engine) setRole(o engine.SetRole) { e.role = o.Role }
+
+// export is what engines tell each other of the blocks that they hold.
+type export struct {
+	WeightVersion string   `json:"weightVersion"`
+	Blocks        []uint64 `json:"blocks"`
 }
 
-func (e *Engine) loadModel(w http.ResponseWriter, r *http.Request) {
-	var order engine.LoadModel
-	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
+	var wanted export
+	if err := json.NewDecoder(r.Body).Decode(&wanted); err != nil {
 		refuse(w, http.StatusBadRequest, engine.Invalid, err.Error())
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if order.Fence < e.fence {
-		refuse(w, http.StatusConflict, engine.Fenced, "a newer fencing number was seen")
-		return
+	held := export{WeightVersion: e.weights}
+	for _, block := range wanted.Blocks {
+		if !e.batch.Has(block) {
+			break
+		}
+		held.Blocks = append(held.Blocks, block)
 	}
-	e.fence = order.Fence
-	e.weights = order.WeightVersion
-	e.cache.Purge()
-	w.WriteHeader(http.StatusNoContent)
+	reply(w, held)
+}
+
+// Held returns the blocks in the cache, in rising order.
+func (e *Engine) Held() []uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	blocks := e.batch.Snapshot().Blocks
+	slices.Sort(blocks)
+	return blocks
 }
 
 func reply(w http.ResponseWriter, value any) {
