Send a seeded load and check every answer

`cicadamill load` is an open loop of chats with nested prefixes and calls of a plain service. It checks streams to the last byte, goes on after a broken connection with Last-Event-ID at the next node, repeats a call that must not run twice with its key, prints quantiles and refusals by kind, and fails when a promise was broken. Each kind of broken promise is shown to be seen.

--- a/cmd/cicadamill/main.go
+++ b/cmd/cicadamill/main.go
@@ -27,6 +27,7 @@
 type args struct {
 	Serve   *serveCommand   `arg:"subcommand:serve" help:"run a node"`
 	Measure *measureCommand `arg:"subcommand:measure" help:"measure routing decisions in virtual time"`
+	Load    *loadCommand    `arg:"subcommand:load" help:"send a seeded load and check the answers"`
 	Standin *standinCommand `arg:"subcommand:standin" help:"run a stand-in of an engine, the platform or a service"`
 	Version *versionCommand `arg:"subcommand:version" help:"print the version"`
 }
--- a/internal/standin/model/model.go
+++ b/internal/standin/model/model.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	defaultChunkTokens = 4096
+	defaultChunkTokens = 256
 	keptEvents         = 4096
 )
 
--- /dev/null
+++ b/internal/tool/load/load_test.go
@@ -0,0 +1,103 @@
+package load_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/cicadamill/cicadamill/internal/entry/chat"
+	"github.com/cicadamill/cicadamill/internal/standin/words"
+	"github.com/cicadamill/cicadamill/internal/tool/load"
+)
+
+const length = 4
+
+// router answers like one that breaks a promise in some way.
+type router struct {
+	kind string
+}
+
+func (s router) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	request, _ := chat.Parse(body)
+	answer := words.New(request.Prompt, "1", "")
+	w.Header().Set("X-Cicadamill-Weight-Version", "1")
+	switch s.kind {
+	case "refuses":
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, `{"error":{"code":"busy","ran":"notRun"}}`)
+		return
+	case "bare failure":
+		w.WriteHeader(http.StatusBadGateway)
+		return
+	case "other answer":
+		answer = words.New([]byte("other"), "1", "")
+	}
+	from := 0
+	if id := r.Header.Get("Last-Event-ID"); id != "" {
+		_, _ = fmt.Sscanf(id, "1.0.%d", &from)
+		from++
+	}
+	for offset := from; offset < length; offset++ {
+		id := offset
+		switch {
+		case s.kind == "repeats" && offset == 2:
+			id = 1
+		case s.kind == "skips" && offset == 2:
+			continue
+		case s.kind == "silent" && offset == 2:
+			return
+		case s.kind == "dies" && offset == 2 && from == 0:
+			panic(http.ErrAbortHandler)
+		case s.kind == "tells" && offset == 2:
+			_, _ = io.WriteString(w, "event: error\ndata: {\"error\":{\"code\":\"broken\",\"ran\":\"unknown\"}}\n\n")
+			return
+		}
+		_, _ = fmt.Fprintf(w, "id: 1.0.%d\ndata: {\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", id, answer.Word(offset))
+		_ = http.NewResponseController(w).Flush()
+	}
+	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+}
+
+func TestBrokenPromisesAreSeen(t *testing.T) {
+	tests := map[string]struct {
+		broken, outcome, refusal string
+	}{
+		"whole":        {outcome: "checked"},
+		"dies":         {outcome: "reconnects"},
+		"refuses":      {refusal: "busy/notRun"},
+		"tells":        {refusal: "broken/unknown"},
+		"bare failure": {broken: "a failure without an error document"},
+		"other answer": {broken: "the answer is not that of the request"},
+		"repeats":      {broken: "a chunk was repeated, skipped or out of order"},
+		"skips":        {broken: "a chunk was repeated, skipped or out of order"},
+		"silent":       {broken: "the stream ended without an end or an error"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(router{kind: name})
+			defer server.Close()
+			report := load.New(load.Options{
+				Addresses: []string{server.Listener.Addr().String()}, Keys: []string{"k"}, Application: "p", Seed: 7,
+				Rate: 100, Length: 100 * time.Millisecond, MaxTokens: length, Check: true, Timeout: time.Minute,
+			}).Do(context.Background(), nil)
+			assert.Equal(t, test.broken == "", report.Kept(), report.Broken)
+			for why := range report.Broken {
+				assert.True(t, strings.HasPrefix(why, test.broken), why)
+			}
+			if test.outcome != "" {
+				assert.Equal(t, report.Requests["chat"], report.Outcomes[test.outcome])
+			}
+			if test.refusal != "" {
+				assert.Equal(t, report.Requests["chat"], report.Refusals[test.refusal])
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/tool/load/report.go
@@ -0,0 +1,106 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Report is what a run saw.
+type Report struct {
+	// Requests counts the requests that were sent, by kind.
+	Requests map[string]int `json:"requests"`
+	// Outcomes counts what became of them, and reconnects on the way.
+	Outcomes map[string]int `json:"outcomes"`
+	// Refusals counts errors by code, by whether the request ran and by whether
+	// a time to retry was given.
+	Refusals map[string]int `json:"refusals"`
+	// Broken counts broken promises by kind; it must be empty.
+	Broken map[string]int `json:"broken"`
+	// TTFT is the time to first token.
+	TTFT Quantiles `json:"ttft"`
+	// InterToken is the time between tokens.
+	InterToken Quantiles `json:"interToken"`
+	// PromptTokens, CachedTokens and RecomputedTokens are sums over all chats.
+	PromptTokens     int `json:"promptTokens"`
+	CachedTokens     int `json:"cachedTokens"`
+	RecomputedTokens int `json:"recomputedTokens"`
+	// HitRate is the part of prompt tokens found in a cache.
+	HitRate float64 `json:"hitRate"`
+	// NotRun are the IDs of chat requests that were told "not run".
+	NotRun []string `json:"-"`
+	// Actions are the calls that must take effect at most once.
+	Actions []Action `json:"-"`
+}
+
+// Action is what a caller was told of one call that must take effect at most
+// once, over all its tries.
+type Action struct {
+	// Key is the idempotency key.
+	Key string
+	// Answered, NotRun and Unknown count the tries by their outcome.
+	Answered, NotRun, Unknown int
+}
+
+// Quantiles are times in milliseconds.
+type Quantiles struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50"`
+	P95   float64 `json:"p95"`
+	P99   float64 `json:"p99"`
+	Max   float64 `json:"max"`
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	millis := func(micros int64) float64 { return float64(micros) / 1000 }
+	return Quantiles{
+		Count: h.TotalCount(), P50: millis(h.ValueAtQuantile(50)), P95: millis(h.ValueAtQuantile(95)),
+		P99: millis(h.ValueAtQuantile(99)), Max: millis(h.Max()),
+	}
+}
+
+// Line is a short state for progress.
+func (r Report) Line() string {
+	return fmt.Sprintf("sent %d, answered %d, refused %d, reconnects %d, broken %d, ttft p50 %.1f p99 %.1f ms, hit rate %.2f",
+		sum(r.Requests), r.Outcomes["answered"], sum(r.Refusals), r.Outcomes["reconnects"], sum(r.Broken), r.TTFT.P50, r.TTFT.P99, r.HitRate)
+}
+
+// Write prints the report for people.
+func (r Report) Write(out io.Writer) error {
+	var text strings.Builder
+	section(&text, "requests", r.Requests)
+	section(&text, "outcomes", r.Outcomes)
+	section(&text, "refusals", r.Refusals)
+	section(&text, "broken promises", r.Broken)
+	for _, h := range []struct {
+		name string
+		q    Quantiles
+	}{{"time to first token", r.TTFT}, {"time between tokens", r.InterToken}} {
+		fmt.Fprintf(&text, "%-20s n=%d p50=%.2f p95=%.2f p99=%.2f max=%.2f ms\n", h.name, h.q.Count, h.q.P50, h.q.P95, h.q.P99, h.q.Max)
+	}
+	fmt.Fprintf(&text, "%-20s %.3f of %d prompt tokens, %d recomputed\n", "hit rate", r.HitRate, r.PromptTokens, r.RecomputedTokens)
+	_, err := io.WriteString(out, text.String())
+	return err
+}
+
+// Kept reports whether no promise was broken.
+func (r Report) Kept() bool { return sum(r.Broken) == 0 }
+
+func section(text *strings.Builder, name string, counts map[string]int) {
+	fmt.Fprintf(text, "%-20s %d\n", name, sum(counts))
+	for _, key := range slices.Sorted(maps.Keys(counts)) {
+		fmt.Fprintf(text, "  %-40s %d\n", key, counts[key])
+	}
+}
+
+func sum(counts map[string]int) int {
+	total := 0
+	for _, count := range counts {
+		total += count
+	}
+	return total
+}
