--- /dev/null
+++ b/examples/examples_test.go
@@ -0,0 +1,45 @@
+package examples_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadamill/cicadamill/internal/config/local"
+	"github.com/cicadamill/cicadamill/internal/config/site"
+)
+
+func TestDeployments(t *testing.T) {
+	tests := map[string]struct {
+		dataCentres []string
+		engines     map[string]int
+	}{
+		"ashaiman": {[]string{"tema", "ashaiman", "madina", "kasoa"}, map[string]int{"assistant": 9, "ordering": 4}},
+		"kochi":    {[]string{"ekm-vyt", "ekm-wil", "ekm-kak"}, map[string]int{"assistant": 12, "claims": 3}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			source, err := os.ReadFile(filepath.Join(name, "configuration.jsonc"))
+			require.NoError(t, err)
+			config, err := site.Parse(source)
+			require.NoError(t, err)
+			assert.Equal(t, name, config.Site)
+			assert.Equal(t, test.dataCentres, config.Regions[0].DataCentres)
+			assert.NotNil(t, config.KVStore)
+			assert.Len(t, config.Workspaces, 8)
+			engines := map[string]int{}
+			for _, application := range config.Applications {
+				engines[application.Name] = len(application.Engines)
+			}
+			assert.Equal(t, test.engines, engines)
+			source, err = os.ReadFile(filepath.Join(name, "node.jsonc"))
+			require.NoError(t, err)
+			settings, err := local.Parse(source)
+			require.NoError(t, err)
+			assert.Contains(t, test.dataCentres, settings.DataCentre)
+		})
+	}
+}
--- a/internal/config/site/site.go
+++ b/internal/config/site/site.go
@@ -2,14 +2,6 @@
 // service, engine and workspace of a deployment and what each depends on.
 package site
 
-import (
-	"bytes"
-	"encoding/json"
-
-	"github.com/juju/errors"
-	"github.com/tailscale/hujson"
-)
-
 // Config is a parsed configuration. It is never changed after parsing.
 type Config struct {
 	// Site names the deployment.
@@ -23,7 +15,9 @@
 	// Engines are the model engines.
 	Engines []Engine `json:"engines"`
 	// KVStore is the store for exported cache blocks; nil means none.
-	KVStore *KVStore `json:"kvStore"`
+	KVStore *KVStore `json:"kvStore,omitempty"`
+	// WeightStore is where engines load weights from; nil means the defaults.
+	WeightStore *WeightStore `json:"weightStore,omitempty"`
 	// Applications are what callers name in the "model" field.
 	Applications []Application `json:"applications"`
 	// Services are the plain services beside the engines.
@@ -84,6 +78,9 @@
 	CacheBlocks int `json:"cacheBlocks,omitempty"`
 	// ChecksFence is true when it refuses orders with an old fencing number.
 	ChecksFence bool `json:"checksFence,omitempty"`
+	// Role is the role that it should have: "serve", "drain" or "standby";
+	// empty means serve.
+	Role string `json:"role,omitempty"`
 }
 
 // KVStore keeps exported cache blocks.
@@ -96,6 +93,15 @@
 	DataCentre string `json:"dataCentre"`
 }
 
+// WeightStore holds the weights that engines load. It is rate-limited.
+type WeightStore struct {
+	// LoadsAtOnce is how many engines of the site may load at the same time;
+	// zero means two.
+	LoadsAtOnce int `json:"loadsAtOnce,omitempty"`
+	// LoadsPerMinute bounds the loads that begin in a minute; zero means no bound.
+	LoadsPerMinute float64 `json:"loadsPerMinute,omitempty"`
+}
+
 // Application binds a name that callers use to engines.
 type Application struct {
 	// Name is what callers put in the "model" field.
@@ -106,6 +112,9 @@
 	Adapter string `json:"adapter,omitempty"`
 	// Engines are the names of the engines that may answer.
 	Engines []string `json:"engines"`
+	// MinServing is how many of its engines must serve while others load;
+	// zero means one.
+	MinServing int `json:"minServing,omitempty"`
 	// DependsOn are the services and stores that the application needs.
 	DependsOn []string `json:"dependsOn,omitempty"`
 }
@@ -160,20 +169,3 @@
 	// Services are the plain services that it may call.
 	Services []string `json:"services,omitempty"`
 }
-
-// Parse reads a configuration text: JSON with comments and trailing commas.
-//
-//	config, err := site.Parse([]byte(`{"site": "tema", /* … */}`))
-func Parse(text []byte) (Config, error) {
-	standard, err := hujson.Standardize(bytes.Clone(text))
-	if err != nil {
-		return Config{}, errors.Annotate(err, "reading the configuration")
-	}
-	decoder := json.NewDecoder(bytes.NewReader(standard))
-	decoder.DisallowUnknownFields()
-	var config Config
-	if err := decoder.Decode(&config); err != nil {
-		return Config{}, errors.Annotate(err, "reading the configuration")
-	}
-	return config, nil
-}
