Copy plain strings without the JSON decoder when reading a text

Each string of a text went through encoding/json, and the fields of a type were gathered again for each object. Strings without escapes are now copied and the fields of a type are kept.

--- a/internal/config/text/decode.go
+++ b/internal/config/text/decode.go
@@ -1,12 +1,15 @@
 package text
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"math"
 	"reflect"
 	"strconv"
 	"strings"
+	"sync"
+	"unicode/utf8"
 
 	"github.com/tailscale/hujson"
 )
@@ -49,7 +52,7 @@
 	fields := fieldsOf(into.Type())
 	seen := make(map[string]int, len(object.Members))
 	for _, member := range object.Members {
-		name := member.Name.Value.(hujson.Literal).String()
+		name := unquote(member.Name.Value.(hujson.Literal))
 		at := join(path, name)
 		if first, twice := seen[name]; twice {
 			line, column := position(d.source, first)
@@ -87,7 +90,7 @@
 			d.wrongType(path, v, "a string")
 			return
 		}
-		into.SetString(literal.String())
+		into.SetString(unquote(literal))
 	case reflect.Bool:
 		if kind != 't' && kind != 'f' {
 			d.wrongType(path, v, "true or false")
@@ -140,8 +143,24 @@
 	}
 }
 
+// unquote returns the value of a string. Most have no escapes and are copied
+// without the JSON decoder.
+func unquote(literal hujson.Literal) string {
+	inner := literal[1 : len(literal)-1]
+	if bytes.IndexByte(inner, '\\') < 0 && utf8.Valid(inner) {
+		return string(inner)
+	}
+	return literal.String()
+}
+
+// knownFields caches what fieldsOf finds; the types are few and fixed.
+var knownFields sync.Map
+
 // fieldsOf maps the JSON names of a struct's fields to their indexes.
 func fieldsOf(t reflect.Type) map[string]int {
+	if known, ok := knownFields.Load(t); ok {
+		return known.(map[string]int)
+	}
 	fields := make(map[string]int, t.NumField())
 	for i := range t.NumField() {
 		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
@@ -149,6 +168,7 @@
 			fields[name] = i
 		}
 	}
+	knownFields.Store(t, fields)
 	return fields
 }
 
--- a/internal/config/text/locate.go
+++ b/internal/config/text/locate.go
@@ -34,7 +34,7 @@
 	switch value := v.Value.(type) {
 	case *hujson.Object:
 		for _, member := range value.Members {
-			if member.Name.Value.(hujson.Literal).String() == step {
+			if unquote(member.Name.Value.(hujson.Literal)) == step {
 				return member.Value, true
 			}
 		}
