--- /dev/null
+++ b/internal/safety/ledger/ledger_test.go
@@ -0,0 +1,111 @@
+package ledger_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/cicadamill/cicadamill/internal/safety/effect"
+	"github.com/cicadamill/cicadamill/internal/safety/ledger"
+)
+
+// step is a message and when it comes.
+type step struct {
+	after   time.Duration
+	message ledger.Message
+}
+
+func run(steps []step) []ledger.Command {
+	now := time.Unix(1000, 0)
+	state := ledger.New(ledger.Call{Row: "r", Digest: "d", Nonce: "me"}, ledger.Limits{Hold: 5 * time.Second, Patience: 10 * time.Second})
+	state, commands := state.Update(now, ledger.Begin{})
+	for _, s := range steps {
+		now = now.Add(s.after)
+		state, commands = state.Update(now, s.message)
+	}
+	return commands
+}
+
+func names(commands []ledger.Command) []string {
+	var all []string
+	for _, command := range commands {
+		switch c := command.(type) {
+		case ledger.Refuse:
+			all = append(all, "refuse "+c.Code+" "+effect.Name(c.Outcome))
+		case ledger.Keep:
+			all = append(all, "keep "+c.Answer.Ran)
+		case ledger.Reserve:
+			all = append(all, fmt.Sprintf("reserve at %d", c.IfVersion))
+		case ledger.ReadAnswer:
+			all = append(all, "read answer of "+c.Nonce)
+		default:
+			all = append(all, fmt.Sprintf("%T", c))
+		}
+	}
+	return all
+}
+
+func TestUpdate(t *testing.T) {
+	mine := ledger.Row{Version: 3, Record: ledger.Record{Nonce: "me", Digest: "d"}}
+	others := ledger.Row{Version: 3, Record: ledger.Record{Nonce: "other", Digest: "d"}}
+	foreign := ledger.Row{Version: 3, Record: ledger.Record{Nonce: "other", Digest: "x"}}
+	notRun := ledger.Answer{Ran: "notRun"}
+	tests := map[string]struct {
+		steps []step
+		want  []string
+	}{
+		"reserved":                          {steps: []step{{0, ledger.Reserved{}}}, want: []string{"ledger.Dispatch"}},
+		"paused after the write":            {steps: []step{{5 * time.Second, ledger.Reserved{}}}, want: []string{"refuse ledgerSlow notRun", "keep notRun"}},
+		"table down":                        {steps: []step{{0, ledger.Down{}}}, want: []string{"refuse ledgerDown notRun"}},
+		"lost, found own":                   {steps: []step{{0, ledger.Lost{}}, {0, mine}}, want: []string{"ledger.Dispatch"}},
+		"lost, found own too late":          {steps: []step{{0, ledger.Lost{}}, {5 * time.Second, mine}}, want: []string{"refuse ledgerSlow notRun", "keep notRun"}},
+		"lost, found nothing":               {steps: []step{{0, ledger.Lost{}}, {0, ledger.Row{}}}, want: []string{"reserve at 0"}},
+		"lost, table stays down":            {steps: []step{{0, ledger.Lost{}}, {5 * time.Second, ledger.Down{}}}, want: []string{"refuse ledgerDown notRun", "keep notRun"}},
+		"key of another body":               {steps: []step{{0, ledger.Conflicted{}}, {0, foreign}}, want: []string{"refuse keyReused notRun"}},
+		"repeat of a call under way":        {steps: []step{{0, ledger.Conflicted{}}, {0, others}, {0, ledger.NoAnswer{}}}, want: []string{"ledger.Wait"}},
+		"repeat waits no longer":            {steps: []step{{0, ledger.Conflicted{}}, {0, others}, {10 * time.Second, ledger.NoAnswer{}}}, want: []string{"refuse underWay unknown"}},
+		"repeat gets the answer":            {steps: []step{{0, ledger.Conflicted{}}, {0, others}, {0, ledger.Answer{Ran: "answered"}}}, want: []string{"ledger.Reply"}},
+		"repeat of an unknown":              {steps: []step{{0, ledger.Conflicted{}}, {0, others}, {0, ledger.Answer{Ran: "unknown"}}}, want: []string{"refuse outcomeUnknown unknown"}},
+		"garbage kept promises nothing":     {steps: []step{{0, ledger.Conflicted{}}, {0, others}, {0, ledger.Answer{Ran: "?"}}}, want: []string{"refuse outcomeUnknown unknown"}},
+		"freed reservation is replaced":     {steps: []step{{0, ledger.Conflicted{}}, {0, others}, {0, notRun}}, want: []string{"reserve at 3"}},
+		"conflict, then table down":         {steps: []step{{0, ledger.Conflicted{}}, {5 * time.Second, ledger.Down{}}}, want: []string{"refuse ledgerDown unknown"}},
+		"answered":                          {steps: []step{{0, ledger.Reserved{}}, {0, ledger.Finished{Outcome: effect.Answered{}, Answer: ledger.Answer{Ran: "answered"}}}}, want: []string{"ledger.Reply", "keep answered"}},
+		"target surely did not run":         {steps: []step{{0, ledger.Reserved{}}, {0, ledger.Finished{Outcome: effect.NotRun{}, Code: "x"}}}, want: []string{"refuse x notRun", "keep notRun"}},
+		"target may have run":               {steps: []step{{0, ledger.Reserved{}}, {0, ledger.Finished{Outcome: effect.Unknown{}, Code: "x"}}}, want: []string{"refuse x unknown", "keep unknown"}},
+		"no outcome is unknown":             {steps: []step{{0, ledger.Reserved{}}, {0, ledger.Finished{Code: "x"}}}, want: []string{"refuse x unknown", "keep unknown"}},
+		"second reply changes nothing":      {steps: []step{{0, ledger.Reserved{}}, {0, ledger.Reserved{}}}, want: nil},
+		"hold counts from the first stray":  {steps: []step{{0, ledger.Lost{}}, {0, others}, {5 * time.Second, notRun}, {0, ledger.Conflicted{}}, {0, mine}}, want: []string{"refuse ledgerSlow unknown", "keep notRun"}},
+		"hold restarts when nothing strays": {steps: []step{{0, ledger.Conflicted{}}, {0, others}, {5 * time.Second, notRun}, {0, ledger.Reserved{}}}, want: []string{"ledger.Dispatch"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, test.want, names(run(test.steps)))
+		})
+	}
+}
+
+func TestElapsedTakesTheClockThatSaysMore(t *testing.T) {
+	from := time.Unix(100, 0)
+	assert.Equal(t, 9*time.Second, ledger.Elapsed(from, time.Unix(109, 0)))
+	now := time.Now()
+	assert.Equal(t, time.Hour, ledger.Elapsed(now, now.Round(0).Add(time.Hour)))
+}
+
+func TestKeysNeverMeet(t *testing.T) {
+	assert.NotEqual(t, ledger.RowKey("a", "bc"), ledger.RowKey("ab", "c"))
+	assert.NotEqual(t, ledger.Digest("s", "POST", "/p", "", []byte("ab")), ledger.Digest("s", "POST", "/pa", "", []byte("b")))
+}
+
+func ExampleState_Update() {
+	state := ledger.New(ledger.Call{Row: "r", Nonce: "n"}, ledger.Limits{Hold: time.Second})
+	now := time.Unix(0, 0)
+	state, commands := state.Update(now, ledger.Begin{})
+	fmt.Printf("%T\n", commands[0])
+	_, commands = state.Update(now, ledger.Reserved{})
+	fmt.Printf("%T\n", commands[0])
+	// Output:
+	// ledger.Reserve
+	// ledger.Dispatch
+}
