--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -104,6 +104,7 @@
 	supervisor := suture.New(s.settings.Name, suture.Spec{EventHook: s.supervised})
 	supervisor.Add(s.loop)
 	supervisor.Add(s.streams.guard)
+	supervisor.Add(s.poller())
 	if operators != nil {
 		supervisor.Add(operators)
 	}
--- a/internal/node/server/stream.go
+++ b/internal/node/server/stream.go
@@ -1,9 +1,14 @@
 package server
 
 import (
+	"context"
+
 	"github.com/cicadamill/cicadamill/internal/entry/front"
 	"github.com/cicadamill/cicadamill/internal/node/flow"
 	"github.com/cicadamill/cicadamill/internal/node/guard"
+	"github.com/cicadamill/cicadamill/internal/node/poll"
+	"github.com/cicadamill/cicadamill/internal/route/cell"
+	"github.com/cicadamill/cicadamill/internal/safety/crash"
 )
 
 // streams are the parts of a node that keep streams whole.
@@ -22,3 +27,23 @@
 		front: front.WithScope(scope),
 	}
 }
+
+// poller reads the engines' reports for the cell and the guard.
+func (s *Server) poller() *poll.Poller {
+	tell := func(ctx context.Context, message cell.Message) {
+		if m, ok := message.(cell.Reported); ok {
+			s.streams.guard.Tell(crash.Seen{Target: m.Target, Incarnation: m.Load.Incarnation})
+		}
+		_ = s.loop.Send(ctx, message)
+	}
+	return poll.New(s.engineNames, s.dial, tell, s.watch.scope().SubScope("stream"))
+}
+
+func (s *Server) engineNames() []string {
+	config := s.applied.Config()
+	names := make([]string, 0, len(config.Engines))
+	for _, e := range config.Engines {
+		names = append(names, e.Name)
+	}
+	return names
+}
