--- a/internal/node/server/decide.go
+++ b/internal/node/server/decide.go
@@ -1,10 +1,17 @@
 package server
 
 import (
+	"context"
+	"time"
+
 	"github.com/cicadamill/cicadamill/internal/config/site"
+	"github.com/cicadamill/cicadamill/internal/node/loop"
 	"github.com/cicadamill/cicadamill/internal/route/cell"
+	"github.com/cicadamill/cicadamill/internal/target/engine"
 )
 
+const importTimeout = 5 * time.Second
+
 // engineList is what the cell needs to know of a configuration.
 func engineList(config site.Config) cell.Targets {
 	shares := make(map[string]float64, len(config.Workspaces))
@@ -15,7 +22,52 @@
 		}
 	}
 	return cell.Targets{
-		All: targets(config), Shares: shares,
+		All: targets(config), HasStore: config.KVStore != nil, Shares: shares,
 		TailTTFT: config.Weights.TailTTFT, Recomputation: config.Weights.Recomputation,
 	}
 }
+
+// importer returns the function that runs the imports of a loop's cell.
+func (s *Server) importer(l *loop.Loop) func(ctx context.Context, command cell.Import) {
+	return func(ctx context.Context, command cell.Import) {
+		go func(ctx context.Context) { _ = l.Send(ctx, s.bring(ctx, command)) }(ctx)
+	}
+}
+
+// bring runs one import. Its end counts no blocks when it failed.
+func (s *Server) bring(ctx context.Context, c cell.Import) cell.Imported {
+	began := time.Now()
+	result := cell.Imported{Job: c.Job, Target: c.Target, Incarnation: c.Incarnation, WeightVersion: c.WeightVersion}
+	client, ok := s.dial(c.Target)
+	address, found := s.source(c.Source)
+	if !ok || !found {
+		return result
+	}
+	ctx, cancel := context.WithTimeout(ctx, importTimeout)
+	defer cancel()
+	err := client.Import(ctx, engine.Import{
+		Workspace: c.Workspace, WeightVersion: c.WeightVersion, Incarnation: c.Incarnation, Source: address, Blocks: c.Blocks,
+	})
+	result.Took = time.Since(began)
+	if err == nil {
+		result.Blocks = len(c.Blocks)
+	}
+	return result
+}
+
+// source returns the address of an engine, or of the KV store for an empty name.
+func (s *Server) source(name string) (string, bool) {
+	config := s.applied.Config()
+	if name == "" {
+		if config.KVStore == nil {
+			return "", false
+		}
+		return config.KVStore.Address, true
+	}
+	for _, e := range config.Engines {
+		if e.Name == name {
+			return e.Address, true
+		}
+	}
+	return "", false
+}
--- a/internal/route/cell/bring.go
+++ b/internal/route/cell/bring.go
@@ -106,7 +106,7 @@
 // sent, if that is cheaper than computing them. It is tried once on an engine.
 func (s State) worthImport(now time.Time, r *run) (source, bool) {
 	t := r.target
-	if r.brought {
+	if r.brought || t.cache.Incarnation() == "" {
 		return source{}, false
 	}
 	from, cached := s.source(now, r), t.cache.Depth(r.job.Blocks)
--- a/internal/route/cell/spread.go
+++ b/internal/route/cell/spread.go
@@ -46,7 +46,7 @@
 			continue
 		}
 		at := place.Score(key, place.Target{Hash: t.hash, Weight: t.Capacity})
-		if s.canImport(t, false) && (best == nil || at > score) {
+		if t.cache.Incarnation() != "" && s.canImport(t, false) && (best == nil || at > score) {
 			best, score = t, at
 		}
 	}
