Measure three ways to share the decision between routers

Change: the policy gossip lets eight deciders tell each other every 200 ms what they have in flight (message Heard); alone lets them decide on lagging reports; home is one decider to which all hand their requests, one hop more.

--- a/internal/route/cell/cell.go
+++ b/internal/route/cell/cell.go
@@ -119,6 +119,10 @@
 		commands = s.cached(now, m)
 	case Snapshot:
 		s.snapshot(now, m)
+	case Heard:
+		if t := s.find(m.Target); t != nil {
+			t.load.Hear(now, m.Prefill, m.Calls)
+		}
 	case Imported:
 		commands = s.imported(now, m)
 	case Tick:
@@ -135,5 +139,25 @@
 // Waiting returns the number of requests that no engine has yet.
 func (s State) Waiting() int { return s.waiting }
 
+// Flight is what this node has in flight on an engine.
+type Flight struct {
+	// Target is the engine's name.
+	Target string
+	// Prefill are the prompt tokens yet to be computed, Calls the calls, and
+	// Waiting the requests that wait here for the engine.
+	Prefill, Calls, Waiting int
+	// Known is the number of blocks believed to be cached.
+	Known int
+}
+
+// Flights returns what this node has in flight, by engine in the order listed.
+func (s State) Flights() []Flight {
+	flights := make([]Flight, len(s.targets))
+	for i, t := range s.targets {
+		flights[i] = Flight{Target: t.Name, Prefill: t.load.OwnPrefill(), Calls: t.load.Own(), Waiting: t.queue.Len(), Known: t.cache.Len()}
+	}
+	return flights
+}
+
 // Counts returns the slice's counters.
 func (s State) Counts() Counts { return s.count }
--- a/internal/route/cell/message.go
+++ b/internal/route/cell/message.go
@@ -13,7 +13,7 @@
 
 // Message is something that happened. It is one of [Targets], [Arrived],
 // [Started], [First], [Ended], [Cancelled], [Reported], [Cached], [Snapshot],
-// [Leaving], [Imported] or [Tick].
+// [Leaving], [Imported], [Heard] or [Tick].
 type Message interface{ message() }
 
 // Target is an engine that the cell may choose.
@@ -153,6 +153,15 @@
 	Took time.Duration
 }
 
+// Heard tells what other nodes have in flight on an engine, where several nodes
+// decide for the same engines.
+type Heard struct {
+	// Target is the engine's name.
+	Target string
+	// Prefill are the prompt tokens yet to be computed, Calls the calls.
+	Prefill, Calls int
+}
+
 // Tick tells that time has passed.
 type Tick struct{}
 
@@ -167,4 +176,5 @@
 func (Snapshot) message()  {}
 func (Leaving) message()   {}
 func (Imported) message()  {}
+func (Heard) message()     {}
 func (Tick) message()      {}
--- a/internal/route/load/load.go
+++ b/internal/route/load/load.go
@@ -40,10 +40,12 @@
 	next           int
 	sampled        time.Time
 	foreign        sample
-	base           float64
-	rate           float64
-	limit          int
-	limited        time.Time
+	// heard is true when other routers tell of their work themselves.
+	heard   bool
+	base    float64
+	rate    float64
+	limit   int
+	limited time.Time
 }
 
 type sample struct {
@@ -89,6 +91,15 @@
 // Own returns the calls that this router has at the engine.
 func (e *Engine) Own() int { return e.calls }
 
+// OwnPrefill returns the prompt tokens that this router has at the engine.
+func (e *Engine) OwnPrefill() int { return e.prefill }
+
+// Hear takes what other routers say that they have at the engine.
+func (e *Engine) Hear(now time.Time, prefill, calls int) {
+	e.foreign = sample{at: now, prefill: prefill, calls: calls}
+	e.heard = true
+}
+
 // Rate returns the time to compute one prompt token.
 func (e *Engine) Rate() float64 { return e.rate }
 
@@ -129,6 +140,9 @@
 	at := now.Add(-report.Age)
 	own := e.at(at)
 	e.slots(now, report)
+	if e.heard {
+		return
+	}
 	e.foreign = sample{
 		at:      now,
 		prefill: max(0, report.PrefillTokens-own.prefill),
--- a/internal/tool/bench/bench.go
+++ b/internal/tool/bench/bench.go
@@ -61,6 +61,9 @@
 	return commands
 }
 
+// Flights implements [world.Teller].
+func (s *slice) Flights() []cell.Flight { return s.state.Flights() }
+
 // Run runs the policies on the loads, some at once, and returns the rows in
 // order of loads and policies.
 //
--- a/internal/tool/world/world.go
+++ b/internal/tool/world/world.go
@@ -22,6 +22,11 @@
 	Update(now time.Time, message cell.Message) []cell.Command
 }
 
+// Teller is a decider that can tell others what it has in flight.
+type Teller interface {
+	Flights() []cell.Flight
+}
+
 // Options say who decides.
 type Options struct {
 	// Make returns a decider that has just started, from a seed.
@@ -121,6 +126,9 @@
 	}
 	w.queue.add(w.now, w.tick)
 	w.queue.add(w.now, w.report)
+	if w.options.Gossip > 0 {
+		w.queue.add(w.now, w.gossip)
+	}
 	w.loop()
 	return w.score.Result()
 }
