--- a/cmd/cicadamill/measure.go
+++ b/cmd/cicadamill/measure.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/cicadamill/cicadamill/internal/tool/bench"
+	"github.com/cicadamill/cicadamill/internal/tool/judge"
 	"github.com/cicadamill/cicadamill/internal/tool/paint"
 	"github.com/cicadamill/cicadamill/internal/tool/trace"
 )
@@ -46,6 +47,9 @@
 	if err := paint.Table(out, rows); err != nil {
 		return errors.Trace(err)
 	}
+	if err := paint.Verdicts(out, judge.All(rows, "home")); err != nil {
+		return errors.Trace(err)
+	}
 	if a.JSON != "" {
 		if err := toFile(a.JSON, func(w io.Writer) error { return paint.JSON(w, rows) }); err != nil {
 			return errors.Trace(err)
--- /dev/null
+++ b/internal/route/budget/budget_test.go
@@ -0,0 +1,33 @@
+package budget_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"github.com/cicadamill/cicadamill/internal/route/budget"
+)
+
+func TestRetriesStayAPartOfTheRequests(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := budget.New()
+		requests, retries := 0, 0
+		for _, first := range rapid.SliceOfN(rapid.Bool(), 0, 400).Draw(t, "steps") {
+			if first {
+				b.Earn()
+				requests++
+			} else if b.Spend() {
+				retries++
+			}
+			assert.LessOrEqual(t, float64(retries), 20+0.2*float64(requests)+0.001)
+		}
+	})
+}
+
+func ExampleBudget_Spend() {
+	b := budget.New()
+	fmt.Println(b.Spend())
+	// Output: true
+}
--- /dev/null
+++ b/internal/route/cell/property_test.go
@@ -0,0 +1,196 @@
+package cell_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"github.com/cicadamill/cicadamill/internal/route/cell"
+	"github.com/cicadamill/cicadamill/internal/route/job"
+	"github.com/cicadamill/cicadamill/internal/safety/effect"
+	"github.com/cicadamill/cicadamill/internal/target/engine"
+)
+
+// chaos draws faults and keeps what the slice has promised.
+type chaos struct {
+	*bed
+	t       *rapid.T
+	jobs    int
+	open    map[string]cell.Start
+	imports []cell.Import
+	over    map[string]bool
+	leaving map[string]bool
+	starts  map[string]int
+	engines map[string]int
+}
+
+const chaosEngines = 4
+
+func (c *chaos) incarnation(target string) string {
+	return fmt.Sprintf("%s-%d", target, c.engines[target])
+}
+
+// do hands a message in and checks each command.
+func (c *chaos) do(message cell.Message) {
+	for _, command := range c.tell(message) {
+		switch m := command.(type) {
+		case cell.Start:
+			c.starts[m.Job]++
+			assert.False(c.t, c.over[m.Job], "start of a request that is over")
+			assert.False(c.t, c.leaving[m.Target], "new work for a leaving engine")
+			assert.NotContains(c.t, c.open, m.Job, "two attempts at once")
+			c.open[m.Job] = m
+		case cell.Refuse:
+			assert.False(c.t, c.over[m.Job], "second end of a request")
+			assert.NotContains(c.t, c.open, m.Job, "refusal beside an attempt")
+			c.over[m.Job] = true
+		case cell.Stop:
+			delete(c.open, m.Job)
+		case cell.Import:
+			assert.False(c.t, c.leaving[m.Target], "import into a leaving engine")
+			c.imports = append(c.imports, m)
+		}
+	}
+}
+
+func (c *chaos) arrive() {
+	c.jobs++
+	prompt := []uint64{1, 2, 3}[:rapid.IntRange(0, 3).Draw(c.t, "shared")]
+	for range rapid.IntRange(0, 4).Draw(c.t, "own") {
+		prompt = append(slices.Clone(prompt), rapid.Uint64Range(10, 14).Draw(c.t, "block"))
+	}
+	j := job.Job{
+		ID: fmt.Sprint(c.jobs), Workspace: fmt.Sprint(rapid.IntRange(0, 2).Draw(c.t, "workspace")), Application: "chat",
+		Blocks: prompt, BlockTokens: 2000, PromptTokens: 2000*len(prompt) + 50,
+	}
+	if rapid.Bool().Draw(c.t, "hurried") {
+		j.Deadline = time.Second
+	}
+	c.do(cell.Arrived{Job: j})
+}
+
+func (c *chaos) anOpen() (cell.Start, bool) {
+	ids := make([]string, 0, len(c.open))
+	for id := range c.open {
+		ids = append(ids, id)
+	}
+	if len(ids) == 0 {
+		return cell.Start{}, false
+	}
+	slices.Sort(ids)
+	return c.open[rapid.SampledFrom(ids).Draw(c.t, "job")], true
+}
+
+func (c *chaos) end(s cell.Start, code engine.Code, outcome effect.Outcome) {
+	delete(c.open, s.Job)
+	if _, ok := outcome.(effect.Answered); ok {
+		c.over[s.Job] = true
+	}
+	if code == engine.Leaving {
+		c.leaving[s.Target] = true
+	}
+	c.do(cell.Ended{Job: s.Job, Attempt: s.Attempt, Code: code, Outcome: outcome})
+}
+
+func (c *chaos) step() {
+	target := fmt.Sprintf("e%d", rapid.IntRange(0, chaosEngines-1).Draw(c.t, "engine"))
+	c.now = c.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(c.t, "millis")) * time.Millisecond)
+	s, running := c.anOpen()
+	switch what := rapid.IntRange(0, 14).Draw(c.t, "what"); {
+	case what <= 4:
+		c.arrive()
+	case what == 5:
+		c.do(cell.Tick{})
+	case what == 6 && !c.leaving[target]:
+		c.leaving[target] = true
+		c.do(cell.Leaving{Target: target})
+	case what == 7:
+		c.engines[target]++
+		c.leaving[target] = false
+		c.do(cell.Reported{Target: target, Load: engine.Load{Incarnation: c.incarnation(target)}})
+	case what == 8 && len(c.imports) > 0:
+		c.endImport(c.imports[0])
+		c.imports = c.imports[1:]
+	case what == 9 && running:
+		delete(c.open, s.Job)
+		c.over[s.Job] = true
+		c.do(cell.Cancelled{Job: s.Job})
+	case what == 10 && running:
+		c.do(cell.First{Job: s.Job, Attempt: s.Attempt})
+	case what == 11 && running:
+		c.end(s, "", effect.Answered{})
+	case what >= 12 && running:
+		code := rapid.SampledFrom([]engine.Code{engine.Busy, engine.Broken, engine.Stale, engine.Leaving, engine.Unreachable}).Draw(c.t, "code")
+		var outcome effect.Outcome = effect.NotRun{}
+		if code == engine.Broken {
+			outcome = effect.Unknown{}
+		}
+		c.end(s, code, outcome)
+	}
+}
+
+func (c *chaos) endImport(i cell.Import) {
+	m := cell.Imported{Job: i.Job, Target: i.Target, Incarnation: i.Incarnation, WeightVersion: i.WeightVersion, Took: time.Second}
+	if rapid.Bool().Draw(c.t, "imported") {
+		m.Blocks = len(i.Blocks)
+	}
+	c.do(m)
+}
+
+// settle answers what runs until every request must be over.
+func (c *chaos) settle() {
+	for range 600 {
+		for range len(c.open) {
+			for id, s := range c.open {
+				c.do(cell.First{Job: id, Attempt: s.Attempt})
+				c.end(s, "", effect.Answered{})
+				break
+			}
+		}
+		c.now = c.now.Add(100 * time.Millisecond)
+		c.do(cell.Tick{})
+	}
+}
+
+func TestNoRequestIsLostAndNoEstimateLeaks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := &chaos{
+			bed: newBedWith(chaosEngines, cell.Targets{HasStore: true}), t: t, open: map[string]cell.Start{},
+			over: map[string]bool{}, leaving: map[string]bool{}, starts: map[string]int{}, engines: map[string]int{},
+		}
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			c.step()
+		}
+		c.settle()
+		assert.Empty(t, c.state.Running())
+		assert.Zero(t, c.state.Waiting())
+		assert.Len(t, c.over, c.jobs, "every request has one end")
+		for _, f := range c.state.Flights() {
+			assert.Zero(t, f.Prefill)
+			assert.Zero(t, f.Calls)
+			assert.Zero(t, f.Waiting)
+		}
+		for id, count := range c.starts {
+			assert.LessOrEqual(t, count, 4, id)
+		}
+	})
+}
+
+func TestSameMessagesGiveSameCommands(t *testing.T) {
+	run := func() []cell.Command {
+		b := newBed(5)
+		for i := range 60 {
+			b.tell(cell.Arrived{Job: work(fmt.Sprint(i), uint64(i%7), uint64(i%11))})
+			if i%3 == 0 {
+				b.tell(failed(only[cell.Start](b.commands)[0], engine.Broken, effect.Unknown{}))
+			}
+			b.wait(50 * time.Millisecond)
+		}
+		return b.commands
+	}
+	assert.Equal(t, run(), run())
+}
--- /dev/null
+++ b/internal/route/heat/heat_test.go
@@ -0,0 +1,66 @@
+package heat_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/cicadamill/cicadamill/internal/route/heat"
+)
+
+// feed brings work at a rate in engine seconds a second for some seconds and
+// returns the wanted holders and how often their number changed.
+func feed(m *heat.Meter, from time.Time, seconds int, rate float64) (holders, changes int) {
+	const perSecond = 10
+	for i := range seconds * perSecond {
+		now := from.Add(time.Duration(i) * time.Second / perSecond)
+		next := m.Add(now, 1, time.Duration(rate/perSecond*float64(time.Second)))
+		if next != holders && i > 0 {
+			changes++
+		}
+		holders = next
+	}
+	return holders, changes
+}
+
+func TestHoldersFollowTheWork(t *testing.T) {
+	m := heat.New(8)
+	start := time.Unix(0, 0)
+	cold, _ := feed(m, start, 60, 0.1)
+	hot, _ := feed(m, start.Add(60*time.Second), 60, 2)
+	cooled, _ := feed(m, start.Add(120*time.Second), 120, 0.1)
+	assert.Equal(t, 1, cold)
+	assert.GreaterOrEqual(t, hot, 5)
+	assert.Equal(t, 1, cooled)
+}
+
+func TestSmallChangesMoveNothing(t *testing.T) {
+	m := heat.New(8)
+	start := time.Unix(0, 0)
+	before, _ := feed(m, start, 100, 1)
+	for i := range 10 {
+		rate := 0.93
+		if i%2 == 0 {
+			rate = 1.0
+		}
+		after, changes := feed(m, start.Add(time.Duration(100+20*i)*time.Second), 20, rate)
+		assert.Equal(t, before, after)
+		assert.Zero(t, changes)
+	}
+}
+
+func TestBounded(t *testing.T) {
+	m := heat.New(8)
+	for key := range uint64(100) {
+		m.Add(time.Unix(0, 0), key, time.Second)
+	}
+	assert.Equal(t, 8, m.Len())
+}
+
+func ExampleMeter_Add() {
+	m := heat.New(8)
+	fmt.Println(m.Add(time.Unix(0, 0), 1, 5*time.Second))
+	// Output: 2
+}
--- a/internal/tool/paint/paint.go
+++ b/internal/tool/paint/paint.go
@@ -14,6 +14,7 @@
 	"gonum.org/v1/plot/vg"
 
 	"github.com/cicadamill/cicadamill/internal/tool/bench"
+	"github.com/cicadamill/cicadamill/internal/tool/judge"
 )
 
 const (
@@ -36,6 +37,16 @@
 	return errors.Annotate(t.Flush(), "writing the table")
 }
 
+// Verdicts writes one line a target.
+func Verdicts(w io.Writer, verdicts []judge.Verdict) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, "site\tload\ttarget\tfigure\tbound\tmet\t")
+	for _, v := range verdicts {
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%.3f\t%.2f\t%t\t\n", v.Site, v.Load, v.Target, v.Figure, v.Bound, v.Met)
+	}
+	return errors.Annotate(t.Flush(), "writing the targets")
+}
+
 // JSON writes all figures.
 func JSON(w io.Writer, rows []bench.Row) error {
 	encoder := json.NewEncoder(w)
--- a/internal/tool/score/score.go
+++ b/internal/tool/score/score.go
@@ -18,6 +18,9 @@
 	// good.
 	Objective = 2 * time.Second
 
+	// Settle is the time in which the tail must be back after a shift.
+	Settle = 5 * time.Second
+
 	highestMillis = 60_000
 	digits        = 3
 	// secondsKept is the length of the series of tail times by second.
@@ -72,7 +75,11 @@
 	Fairness float64 `json:"fairness"`
 	// Groups are the figures for each workspace and class.
 	Groups []Group `json:"groups"`
-	// Tail is the 99th percentile by second of arrival.
+	// P99Before and P99After are the 99th percentiles of arrivals before the
+	// time of the load's fault or shift, and from [Settle] after it.
+	P99Before float64 `json:"p99BeforeMillis"`
+	P99After  float64 `json:"p99AfterMillis"`
+	// Tail is the slowest first token by second of arrival.
 	Tail []float64 `json:"tailMillisBySecond"`
 }
 
@@ -180,9 +187,22 @@
 	})
 	r.Fairness = fairness(r.Groups)
 	r.Tail = s.tail()
+	r.P99Before = s.between(s.load.From, trace.FaultAt)
+	r.P99After = s.between(trace.FaultAt+Settle, s.load.To)
 	return r
 }
 
+// between returns the 99th percentile of the arrivals between two times.
+func (s *Score) between(from, to time.Duration) float64 {
+	h := histogram()
+	for second := int(from / time.Second); second < min(secondsKept, int(to/time.Second)); second++ {
+		for _, ttft := range s.seconds[second] {
+			_ = h.RecordValue(max(1, ttft.Milliseconds()))
+		}
+	}
+	return float64(h.ValueAtQuantile(99))
+}
+
 func (s *Score) tail() []float64 {
 	var tail []float64
 	for second := int(s.load.From / time.Second); second < int(s.load.To/time.Second); second++ {
--- a/internal/tool/trace/loads.go
+++ b/internal/tool/trace/loads.go
@@ -51,8 +51,10 @@
 func (f Restart) When() time.Duration { return f.At }
 
 const (
-	warmUp    = 60 * time.Second
-	faultAt   = 120 * time.Second
+	// WarmUp is the time before the figures count.
+	WarmUp = 60 * time.Second
+	// FaultAt is the time at which a load's fault or shift comes.
+	FaultAt   = 120 * time.Second
 	end       = 240 * time.Second
 	herdRate  = 20
 	surgeRate = 2
@@ -71,11 +73,16 @@
 	}
 }
 
+// Names returns the names of the loads.
+func Names() []string {
+	return []string{"steady", "herd", "herdEmpty", "monsoon", "shift", "crash", "leaving", "lagging", "flood", "alone"}
+}
+
 func begin(site Site, seed uint64, name string) (*maker, Load) {
 	m := &maker{site: site, random: rand.New(rand.NewPCG(seed, uint64(len(site.Name))))}
 	return m, Load{
-		Name: name, Site: site, From: warmUp, To: end - defaultPatience,
-		EventLag: steadyEventLag, ReportLag: steadyReportLag, StoreDownFrom: end + warmUp,
+		Name: name, Site: site, From: WarmUp, To: end - defaultPatience,
+		EventLag: steadyEventLag, ReportLag: steadyReportLag, StoreDownFrom: end + WarmUp,
 	}
 }
 
@@ -100,10 +107,10 @@
 	}
 	m, l := begin(site, seed, name)
 	m.day(0, end, 1, site.lengths)
-	m.day(faultAt, faultAt+time.Second, herdRate, site.lengths)
-	l.Faults = []Fault{Restart{At: faultAt, EmptyEngines: empty}}
-	l.StoreDownFrom = faultAt
-	l.From, l.To = faultAt, faultAt+time.Minute
+	m.day(FaultAt, FaultAt+time.Second, herdRate, site.lengths)
+	l.Faults = []Fault{Restart{At: FaultAt, EmptyEngines: empty}}
+	l.StoreDownFrom = FaultAt
+	l.From, l.To = FaultAt, FaultAt+time.Minute
 	l.Requests = m.finish(end)
 	return l
 }
@@ -112,7 +119,7 @@
 func monsoon(site Site, seed uint64) Load {
 	m, l := begin(site, seed, "monsoon")
 	m.day(0, end, 1, site.lengths)
-	m.day(warmUp, end-warmUp, surgeRate-1, sheetLengths{3 * site.lengths.low, 3 * site.lengths.high})
+	m.day(WarmUp, end-WarmUp, surgeRate-1, sheetLengths{3 * site.lengths.low, 3 * site.lengths.high})
 	l.Requests = m.finish(end)
 	return l
 }
@@ -120,13 +127,13 @@
 // shift makes half of the requests ask for a new material of one workspace.
 func shift(site Site, seed uint64) Load {
 	m, l := begin(site, seed, "shift")
-	m.day(0, faultAt, 1, site.lengths)
-	m.day(faultAt, end, 0.5, site.lengths)
+	m.day(0, FaultAt, 1, site.lengths)
+	m.day(FaultAt, end, 0.5, site.lengths)
 	for _, a := range site.Apps {
 		hot := *a.workspaces[0]
 		hot.materials = []part{{id: 9999, tokens: 12000}}
 		a.workspaces = []*workspace{&hot}
-		m.sessions(a, faultAt, end, a.part/2, site.lengths)
+		m.sessions(a, FaultAt, end, a.part/2, site.lengths)
 	}
 	l.Requests = m.finish(end)
 	return l
@@ -137,10 +144,10 @@
 	m.day(0, end, 1, site.lengths)
 	engines := site.Apps[0].Engines
 	l.Faults = []Fault{
-		Crash{At: faultAt, Engine: engines[0].Name, Down: 5 * time.Second},
-		Crash{At: faultAt + 20*time.Second, Engine: engines[1].Name, Down: 5 * time.Second},
+		Crash{At: FaultAt, Engine: engines[0].Name, Down: 5 * time.Second},
+		Crash{At: FaultAt + 20*time.Second, Engine: engines[1].Name, Down: 5 * time.Second},
 	}
-	l.From, l.To = faultAt, faultAt+time.Minute
+	l.From, l.To = FaultAt, FaultAt+time.Minute
 	l.Requests = m.finish(end)
 	return l
 }
@@ -148,8 +155,8 @@
 func leave(site Site, seed uint64) Load {
 	m, l := begin(site, seed, "leaving")
 	m.day(0, end, 1, site.lengths)
-	l.Faults = []Fault{Leave{At: faultAt, Engine: site.Apps[0].Engines[0].Name, Lag: 2 * time.Second}}
-	l.From, l.To = faultAt, faultAt+time.Minute
+	l.Faults = []Fault{Leave{At: FaultAt, Engine: site.Apps[0].Engines[0].Name, Lag: 2 * time.Second}}
+	l.From, l.To = FaultAt, FaultAt+time.Minute
 	l.Requests = m.finish(end)
 	return l
 }
@@ -179,7 +186,7 @@
 		for _, a := range site.Apps {
 			large := a
 			large.workspaces = a.workspaces[:1]
-			m.sessions(large, warmUp, end, floodRate*a.part, site.lengths)
+			m.sessions(large, WarmUp, end, floodRate*a.part, site.lengths)
 		}
 	}
 	l.Requests = m.finish(end)
