--- a/cmd/cicadamill/main.go
+++ b/cmd/cicadamill/main.go
@@ -26,6 +26,7 @@
 // args holds one field for each command; its type lies in the command's file.
 type args struct {
 	Serve   *serveCommand   `arg:"subcommand:serve" help:"run a node"`
+	Measure *measureCommand `arg:"subcommand:measure" help:"measure routing decisions in virtual time"`
 	Version *versionCommand `arg:"subcommand:version" help:"print the version"`
 }
 
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -41,6 +41,7 @@
 	http     *http.Client
 	ready    chan Addresses
 	watch    watch
+	streams  streams
 }
 
 // Addresses are where a running node listens.
@@ -64,6 +65,7 @@
 		http:     &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: idleTimeout}},
 	}
 	s.watch = newWatch(logger)
+	s.streams = newStreams(s.watch)
 	s.loop = loop.New(s.fetch)
 	return s
 }
@@ -82,7 +84,7 @@
 	}
 	s.logger.Info("configuration applied", "version", number)
 	s.watch.rank(config)
-	return s.loop.Send(ctx, cell.Targets{All: targets(config)})
+	return s.loop.Send(ctx, engineList(config))
 }
 
 // Serve runs the node until the context ends.
@@ -94,13 +96,14 @@
 	if err != nil {
 		return err
 	}
-	handler := s.watch.callers(front.New(s.settings.Name, s.applied.Config, s.watch.runner(flow.New(s.loop, s.dial))))
+	handler := s.watch.callers(front.New(s.settings.Name, s.applied.Config, s.watch.runner(flow.New(s.loop, s.dial, s.streams.flow...)), s.streams.front))
 	listener, err := net.Listen("tcp", s.settings.CallerAddress)
 	if err != nil {
 		return errors.Annotate(err, "opening the callers' listener")
 	}
 	supervisor := suture.New(s.settings.Name, suture.Spec{EventHook: s.supervised})
 	supervisor.Add(s.loop)
+	supervisor.Add(s.streams.guard)
 	if operators != nil {
 		supervisor.Add(operators)
 	}
