Serve plain services, with calls that run at most once

Calls to /v1/services/{service}/… are routed by the configuration. A call that may be repeated streams both ways and is retried within a budget; any other needs an Idempotency-Key, runs through the ledger slice, and is answered again from its record. Outcomes are sealed at the socket by package guard.

net/http repeats a request that carries an Idempotency-Key by itself when a reused connection breaks: the guard's test shows the bare client running a call a second time. So effects open a connection of their own, and the guard lets a request leave on one connection only.

A refused connection to the table service now counts as a write without effect.

--- /dev/null
+++ b/internal/entry/plain/once.go
@@ -0,0 +1,166 @@
+package plain
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	jujuerrors "github.com/juju/errors"
+
+	"github.com/cicadamill/cicadamill/internal/config/site"
+	"github.com/cicadamill/cicadamill/internal/entry/fault"
+	"github.com/cicadamill/cicadamill/internal/node/once"
+	"github.com/cicadamill/cicadamill/internal/safety/effect"
+	"github.com/cicadamill/cicadamill/internal/safety/ledger"
+	"github.com/cicadamill/cicadamill/internal/target/web"
+)
+
+const (
+	maxEffectBytes = 256 << 10
+	maxKeyLength   = 255
+	maxTries       = 3
+)
+
+const (
+	errLate    = jujuerrors.ConstError("the owner's time is over")
+	errLeaving = jujuerrors.ConstError("the target is leaving")
+)
+
+// once serves a call that may not be repeated.
+func (h *Handler) once(w http.ResponseWriter, r *http.Request, c call) error {
+	key, err := keyOf(r.Header)
+	if err != nil {
+		return err
+	}
+	body, err := readBody(w, r)
+	if err != nil {
+		return err
+	}
+	if len(h.staying(c.service.Name)) == 0 {
+		return noTarget()
+	}
+	header := outgoing(r, c)
+	header.Set(KeyHeader, key)
+	reply, err := h.options.Ledger.Run(r.Context(), once.Call{
+		Workspace: c.workspace,
+		Key:       key,
+		Digest:    ledger.Digest(c.service.Name, r.Method, c.uri, r.Header.Get("Content-Type"), body),
+		Dispatch: func(ctx context.Context, bound ledger.Dispatch) ledger.Finished {
+			request := web.Request{Method: r.Method, URI: c.uri, Header: header}
+			return h.dispatch(ctx, c, request, body, bound)
+		},
+	})
+	if err != nil {
+		return err
+	}
+	copyHeader(w.Header(), incoming(reply.Answer.Header))
+	if reply.Repeated {
+		w.Header().Set(repeatedHeader, "true")
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(reply.Answer.Body)))
+	w.WriteHeader(reply.Answer.Status)
+	_, _ = w.Write(reply.Answer.Body)
+	return nil
+}
+
+func keyOf(header http.Header) (string, error) {
+	values := header.Values(KeyHeader)
+	if len(values) != 1 || values[0] == "" {
+		return "", refuse("keyRequired", http.StatusBadRequest, "this call may not be repeated: send one "+KeyHeader+" header, new for each action and the same for each try of it")
+	}
+	if len(values[0]) > maxKeyLength {
+		return "", refuse("keyTooLong", http.StatusBadRequest, "the "+KeyHeader+" is longer than "+strconv.Itoa(maxKeyLength)+" characters")
+	}
+	return values[0], nil
+}
+
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxEffectBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, refuse("bodyTooLarge", http.StatusRequestEntityTooLarge, "the body of a call that may not be repeated is at most "+strconv.Itoa(maxEffectBytes)+" bytes")
+	}
+	if err != nil {
+		return nil, refuse("bodyUnread", http.StatusBadRequest, "the body could not be read")
+	}
+	return body, nil
+}
+
+// dispatch sends the call to the first target that can be reached. Only as long
+// as no byte has left does it turn to the next one.
+func (h *Handler) dispatch(ctx context.Context, c call, request web.Request, body []byte, bound ledger.Dispatch) ledger.Finished {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout())
+	defer cancel()
+	finished := ledger.Finished{Outcome: effect.NotRun{Reason: "no target"}, Code: "noTarget", Message: "no target of this service takes work now"}
+	for tried, target := range h.ranked(c.service.Name) {
+		if tried == maxTries || ctx.Err() != nil {
+			break
+		}
+		request.Body, request.Length = web.Buffered(body)
+		answer, err := h.send(ctx, target, request, bound)
+		var failure *web.Error
+		if !errors.As(err, &failure) {
+			return ledger.Finished{Outcome: effect.Answered{}, Answer: ledger.Answer{
+				Ran: effect.Name(effect.Answered{}), Status: answer.Status, Header: incoming(answer.Header), Body: answer.Body,
+			}}
+		}
+		h.count(c, failure)
+		finished = ledger.Finished{Outcome: failure.Outcome, Code: string(failure.Code), Message: failure.Message}
+		if errors.Is(err, errLate) {
+			finished.Code = "ledgerSlow"
+			return finished
+		}
+		if failure.Code != web.Unreachable {
+			return finished
+		}
+	}
+	return finished
+}
+
+func (h *Handler) send(ctx context.Context, target site.Target, request web.Request, bound ledger.Dispatch) (web.Answer, error) {
+	end := h.ranking.Begin(target.Address)
+	answer, err := h.client.Once(ctx, target.Address, request, func() error {
+		if bound.Late(time.Now()) {
+			return errLate
+		}
+		if h.options.Leaving(target.Name) {
+			return errLeaving
+		}
+		return nil
+	})
+	end(time.Now(), reached(err))
+	return answer, err
+}
+
+func reached(err error) bool {
+	var failure *web.Error
+	return !errors.As(err, &failure) || failure.Code == web.Refused
+}
+
+// count counts a target's failure by its code.
+func (h *Handler) count(c call, failure *web.Error) {
+	h.options.Scope.Tagged(map[string]string{
+		"service": c.service.Name, "code": string(failure.Code), "ran": effect.Name(failure.Outcome),
+	}).Counter("target_failures").Inc(1)
+}
+
+// told turns a target's failure into what the caller learns.
+func told(failure *web.Error) error {
+	status := http.StatusBadGateway
+	switch failure.Code {
+	case web.TimedOut:
+		status = http.StatusGatewayTimeout
+	case web.Unreachable, web.Refused:
+		status = http.StatusServiceUnavailable
+	case web.BadRequest:
+		status = http.StatusBadRequest
+	}
+	after := failure.RetryAfter
+	if after == 0 && status == http.StatusServiceUnavailable {
+		after = time.Second
+	}
+	return &fault.Error{Code: string(failure.Code), Status: status, Outcome: failure.Outcome, RetryAfter: after, Message: "the service's target failed"}
+}
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -96,7 +96,9 @@
 	if err != nil {
 		return err
 	}
-	handler := s.watch.callers(front.New(s.settings.Name, s.applied.Config, s.watch.runner(flow.New(s.loop, s.dial, s.streams.flow...)), s.streams.front))
+	effects := s.openEffects()
+	defer effects.close()
+	handler := s.watch.callers(effects.around(front.New(s.settings.Name, s.applied.Config, s.watch.runner(flow.New(s.loop, s.dial, s.streams.flow...)), s.streams.front)))
 	listener, err := net.Listen("tcp", s.settings.CallerAddress)
 	if err != nil {
 		return errors.Annotate(err, "opening the callers' listener")
--- a/internal/platform/webtab/webtab.go
+++ b/internal/platform/webtab/webtab.go
@@ -8,8 +8,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 
 	"github.com/cicadamill/cicadamill/internal/platform/table"
 )
@@ -55,9 +57,11 @@
 		return &table.OutageError{Message: err.Error()}
 	}
 	request.Header.Set("Content-Type", "application/json")
-	response, err := c.http.Do(request)
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	response, err := c.http.Do(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
-		return &table.OutageError{MayHaveApplied: true, Message: err.Error()}
+		return &table.OutageError{MayHaveApplied: connected.Load(), Message: err.Error()}
 	}
 	defer drain(response.Body)
 	return commitError(response)
--- a/internal/platform/webtab/webtab_test.go
+++ b/internal/platform/webtab/webtab_test.go
@@ -98,3 +98,13 @@
 		}
 	}
 }
+
+func TestNoConnectionHasNoEffect(t *testing.T) {
+	server := httptest.NewServer(tables.New().Handler())
+	address := server.Listener.Addr().String()
+	server.Close()
+	err := webtab.New(address, &http.Client{}).Commit(context.Background(), table.Txn{})
+	var outage *table.OutageError
+	require.ErrorAs(t, err, &outage)
+	assert.False(t, outage.MayHaveApplied)
+}
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -49,7 +49,10 @@
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 		return
 	}
-	key := r.Header.Get("X-Effect-Key")
+	key := r.Header.Get("Idempotency-Key")
+	if key == "" {
+		key = r.Header.Get("X-Effect-Key")
+	}
 	s.mu.Lock()
 	s.effects[key]++
 	count := s.effects[key]
--- /dev/null
+++ b/internal/target/guard/guard_test.go
@@ -0,0 +1,84 @@
+package guard_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadamill/cicadamill/internal/target/guard"
+)
+
+// breaking serves one request, then breaks the same connection at the next one
+// after having run it.
+func breaking(t *testing.T, runs *atomic.Int32) string {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if runs.Add(1) == 2 {
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err == nil {
+				_ = c.(*net.TCPConn).SetLinger(0)
+				_ = c.Close()
+			}
+		}
+	}))
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+func post(ctx context.Context, transport *http.Transport, address string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader([]byte("{}")))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Idempotency-Key", "k")
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return err
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.Body.Close()
+}
+
+// TestOnceStopsTheClientsOwnRepeat shows the hazard without the guard first.
+func TestOnceStopsTheClientsOwnRepeat(t *testing.T) {
+	tests := map[string]struct {
+		context func() context.Context
+		runs    int32
+	}{
+		"bare client repeats":    {context: context.Background, runs: 3},
+		"guarded client doesn't": {context: func() context.Context { return guard.New(func() error { return nil }).Context(context.Background()) }, runs: 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int32
+			address := breaking(t, &runs)
+			transport := &http.Transport{DialContext: guard.Dial}
+			defer transport.CloseIdleConnections()
+			require.NoError(t, post(test.context(), transport, address))
+			err := post(test.context(), transport, address)
+			assert.Equal(t, test.runs, runs.Load())
+			assert.Equal(t, test.runs == 2, err != nil)
+		})
+	}
+}
+
+func TestCheckHoldsBackTheFirstByte(t *testing.T) {
+	var runs atomic.Int32
+	address := breaking(t, &runs)
+	transport := &http.Transport{DialContext: guard.Dial}
+	late := errors.New("late")
+	once := guard.New(func() error { return late })
+	err := post(once.Context(context.Background()), transport, address)
+	assert.ErrorIs(t, err, late)
+	assert.False(t, once.Left())
+	assert.Zero(t, runs.Load())
+}
--- /dev/null
+++ b/internal/target/web/web.go
@@ -0,0 +1,160 @@
+// Package web speaks to the targets of plain services.
+package web
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cicadamill/cicadamill/internal/safety/effect"
+	"github.com/cicadamill/cicadamill/internal/target/guard"
+)
+
+const (
+	// MaxAnswerBytes is the largest answer to a call that may not be repeated.
+	MaxAnswerBytes = 1 << 20
+
+	idleTimeout   = 30 * time.Second
+	idlePerTarget = 32
+	notRunHeader  = "X-Not-Run"
+)
+
+// Client calls targets. It is safe for concurrent use.
+type Client struct {
+	// fresh opens a connection for each call, so that a call is never lost on
+	// an idle connection that the target was just closing.
+	fresh *http.Transport
+	kept  *http.Transport
+}
+
+// New returns a client.
+//
+//	client := web.New()
+//	answer, err := client.Once(ctx, "127.0.0.1:9101", request, check)
+func New() *Client {
+	return &Client{
+		fresh: &http.Transport{DialContext: guard.Dial, DisableKeepAlives: true, DisableCompression: true},
+		kept:  &http.Transport{DialContext: guard.Dial, MaxIdleConnsPerHost: idlePerTarget, IdleConnTimeout: idleTimeout, DisableCompression: true},
+	}
+}
+
+// Request is a call as a target gets it.
+type Request struct {
+	// Method is the HTTP method.
+	Method string
+	// URI is the path with the query, as it goes on the wire.
+	URI string
+	// Header are the headers.
+	Header http.Header
+	// Body is the body; nil means none.
+	Body io.Reader
+	// Length is the length of the body in bytes; -1 means unknown.
+	Length int64
+}
+
+// Answer is a whole answer.
+type Answer struct {
+	// Status is the HTTP status.
+	Status int
+	// Header are the headers.
+	Header http.Header
+	// Body is the body.
+	Body []byte
+}
+
+// Once sends a call that may not be repeated. The check runs right before the
+// first byte leaves. An error is an [*Error] with the sealed outcome.
+func (c *Client) Once(ctx context.Context, address string, request Request, check func() error) (Answer, error) {
+	response, err := c.send(ctx, c.fresh, address, request, check)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswerBytes+1))
+	if err != nil {
+		return Answer{}, failure(ctx, address, AnswerCut, effect.Unknown{Reason: "answer cut"}, err)
+	}
+	if len(body) > MaxAnswerBytes {
+		return Answer{}, failure(ctx, address, AnswerTooLarge, effect.Unknown{Reason: "answer too large"}, errors.New("the answer is too large"))
+	}
+	if refused := refusal(address, response); refused != nil {
+		return Answer{}, refused
+	}
+	return Answer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+}
+
+// Open sends a call that may be repeated and returns as soon as the head of the
+// answer is there; the caller closes the body.
+func (c *Client) Open(ctx context.Context, address string, request Request, check func() error) (*http.Response, error) {
+	response, err := c.send(ctx, c.kept, address, request, check)
+	if err != nil {
+		return nil, err
+	}
+	if refused := refusal(address, response); refused != nil {
+		_ = response.Body.Close()
+		return nil, refused
+	}
+	return response, nil
+}
+
+func (c *Client) send(ctx context.Context, transport *http.Transport, address string, request Request, check func() error) (*http.Response, error) {
+	once := guard.New(check)
+	outgoing, err := build(once.Context(ctx), address, request)
+	if err != nil {
+		return nil, failure(ctx, address, BadRequest, effect.NotRun{Reason: "bad request"}, err)
+	}
+	response, err := transport.RoundTrip(outgoing)
+	switch {
+	case err == nil:
+		return response, nil
+	case !once.Left():
+		return nil, failure(ctx, address, Unreachable, effect.NotRun{Reason: "no byte left"}, err)
+	default:
+		return nil, failure(ctx, address, Broken, effect.Unknown{Reason: "no answer"}, err)
+	}
+}
+
+func build(ctx context.Context, address string, request Request) (*http.Request, error) {
+	target, err := url.ParseRequestURI(request.URI)
+	if err != nil {
+		return nil, err
+	}
+	target.Scheme, target.Host = "http", address
+	outgoing := (&http.Request{
+		Method: request.Method, URL: target, Host: address, Header: request.Header, ContentLength: request.Length,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}).WithContext(ctx)
+	if request.Body != nil && request.Length != 0 {
+		outgoing.Body = io.NopCloser(request.Body)
+	}
+	return outgoing, nil
+}
+
+// refusal is the target's explicit word that it did not run the call. A status
+// alone proves nothing.
+func refusal(address string, response *http.Response) error {
+	if response.Header.Get(notRunHeader) != "true" || response.StatusCode < http.StatusBadRequest {
+		return nil
+	}
+	refused := &Error{Code: Refused, Outcome: effect.NotRun{Reason: "target's word"}, Target: address, Message: response.Status}
+	if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil && seconds > 0 {
+		refused.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	return refused
+}
+
+func failure(ctx context.Context, address string, code Code, outcome effect.Outcome, cause error) error {
+	if _, unknown := outcome.(effect.Unknown); unknown && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		code = TimedOut
+	}
+	return &Error{Code: code, Outcome: outcome, Target: address, Message: cause.Error(), Cause: cause}
+}
+
+// Buffered returns a request body of known bytes.
+func Buffered(body []byte) (io.Reader, int64) { return bytes.NewReader(body), int64(len(body)) }
