--- /dev/null
+++ b/internal/safety/lease/lease.go
@@ -0,0 +1,178 @@
+// Package lease decides who may act for the whole site, by one row of the table.
+//
+// No two clocks are compared. The holder counts its term from before the write
+// that renewed it was sent. Everybody else counts the same term, and a margin
+// for clocks that run at different speeds, from when it first saw the row in
+// its present version; a renewal changes the version and starts the count anew.
+// The fencing number is made from the version that the new holder replaced, so
+// it rises with each holder and stays through its renewals.
+package lease
+
+import "time"
+
+// marginShare is the part of a term by which clocks may drift apart in it.
+const marginShare = 10
+
+// Record is the row as it is stored.
+type Record struct {
+	// Holder names the process that holds the lease; empty means released.
+	Holder string `json:"holder"`
+	// Fence is the holder's fencing number.
+	Fence uint64 `json:"fence"`
+	// Beat counts the holder's renewals.
+	Beat uint64 `json:"beat"`
+	// TermMillis is how long a renewal lasts.
+	TermMillis int64 `json:"termMillis"`
+}
+
+// Grant is the right to act.
+type Grant struct {
+	// Fence is the fencing number.
+	Fence uint64
+	// Since is when the present term began.
+	Since time.Time
+	// Taken is when the holder became the holder.
+	Taken time.Time
+	// Term is its length.
+	Term time.Duration
+}
+
+// Covers reports whether the grant still holds for a time from now on. It must
+// be asked right before each act.
+func (g Grant) Covers(now time.Time, need time.Duration) bool {
+	return g.Fence > 0 && elapsed(g.Since, now)+need < g.Term
+}
+
+type phase int
+
+const (
+	idle phase = iota
+	reading
+	writing
+)
+
+// State is one process's view of the lease. It is comparable.
+type State struct {
+	me   string
+	term time.Duration
+
+	phase phase
+	next  time.Time
+	grant Grant
+	// beat and sent belong to the last write; open is true until it is known
+	// whether it took effect.
+	beat uint64
+	sent time.Time
+	open bool
+	// trying is the fencing number of that write.
+	trying uint64
+	// seen is the version of another holder's row and seenAt when it was first
+	// read.
+	seen   uint64
+	seenAt time.Time
+}
+
+// New returns the state of a process without the lease. No two processes, nor
+// two starts of one, share a name.
+//
+//	state := lease.New(rand.Text(), 10*time.Second)
+//	state, commands := state.Update(now, lease.Tick{})
+func New(me string, term time.Duration) State { return State{me: me, term: term} }
+
+// Grant returns the right to act; whether it still holds is for
+// [Grant.Covers] to say.
+func (s State) Grant() Grant { return s.grant }
+
+// Update takes a message at a time and returns what to do next.
+func (s State) Update(now time.Time, message Message) (State, []Command) {
+	switch m := message.(type) {
+	case Tick:
+		if s.phase != idle || now.Before(s.next) {
+			return s, nil
+		}
+		return s.read()
+	case Row:
+		if s.phase == reading {
+			return s.look(now, m)
+		}
+	case Written:
+		if s.phase == writing {
+			return s.confirm(now), nil
+		}
+	case Unsure:
+		if s.phase == writing {
+			return s.read()
+		}
+	case Down:
+		s.phase = idle
+		s.next = now.Add(s.pause())
+	}
+	return s, nil
+}
+
+func (s State) pause() time.Duration { return s.term / 4 }
+
+func (s State) read() (State, []Command) {
+	s.phase = reading
+	return s, []Command{Read{}}
+}
+
+// look takes the row as it was read.
+func (s State) look(now time.Time, row Row) (State, []Command) {
+	mine := row.Version > 0 && row.Record.Holder == s.me
+	switch {
+	case mine && s.open && row.Record.Beat == s.beat:
+		return s.confirm(now), nil
+	case mine:
+		return s.write(now, row.Version, row.Record.Fence)
+	}
+	s.grant = Grant{}
+	s.open = false
+	if row.Version == 0 || row.Record.Holder == "" {
+		return s.write(now, row.Version, row.Version+1)
+	}
+	return s.watch(now, row)
+}
+
+// watch waits until the row has stayed as it is for its whole term.
+func (s State) watch(now time.Time, row Row) (State, []Command) {
+	if s.seen != row.Version {
+		s.seen, s.seenAt = row.Version, now
+	}
+	term := time.Duration(row.Record.TermMillis) * time.Millisecond
+	if now.Sub(s.seenAt) < term+term/marginShare {
+		s.phase = idle
+		s.next = now.Add(s.pause())
+		return s, nil
+	}
+	return s.write(now, row.Version, row.Version+1)
+}
+
+func (s State) write(now time.Time, version, fence uint64) (State, []Command) {
+	s.phase = writing
+	s.beat++
+	s.sent = now
+	s.open = true
+	s.trying = fence
+	record := Record{Holder: s.me, Fence: fence, Beat: s.beat, TermMillis: s.term.Milliseconds()}
+	return s, []Command{Write{Record: record, IfVersion: version}}
+}
+
+// confirm starts a term, counted from when its write was sent.
+func (s State) confirm(now time.Time) State {
+	taken := s.grant.Taken
+	if s.grant.Fence != s.trying {
+		taken = now
+	}
+	s.grant = Grant{Fence: s.trying, Since: s.sent, Taken: taken, Term: s.term}
+	s.open = false
+	s.phase = idle
+	s.next = s.sent.Add(s.pause())
+	return s
+}
+
+// elapsed takes the clock that says more, so that a holder on a suspended host
+// counts its pause.
+func elapsed(from, to time.Time) time.Duration {
+	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
+}
