Reconcile the engines with the configuration under a lease

The order slice looks at what is wanted and what engines report, never at history, so that a new holder simply goes on. Reports that may be older than the last order of an engine count as "out of work".

--- a/internal/safety/lease/lease.go
+++ b/internal/safety/lease/lease.go
@@ -140,9 +140,9 @@
 		s.seen, s.seenAt = row.Version, now
 	}
 	term := time.Duration(row.Record.TermMillis) * time.Millisecond
-	if now.Sub(s.seenAt) < term+term/marginShare {
+	if wait := term + term/marginShare; now.Sub(s.seenAt) < wait {
 		s.phase = idle
-		s.next = now.Add(s.pause())
+		s.next = s.seenAt.Add(wait)
 		return s, nil
 	}
 	return s.write(now, row.Version, row.Version+1)
--- /dev/null
+++ b/internal/safety/order/rules.go
@@ -0,0 +1,102 @@
+package order
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cicadamill/cicadamill/internal/target/engine"
+)
+
+// back puts a drained engine that serves the right version to work again.
+func (s State) back(_ time.Time, name string, k known) engine.Order {
+	if k.load.Role != RoleDrain || k.load.Loading || !k.loadFrom.IsZero() || k.load.WeightVersion != s.target(s.wanted[name]) {
+		return nil
+	}
+	return engine.SetRole{Role: RoleServe}
+}
+
+// load loads weights into an engine that has drained.
+func (s State) load(now time.Time, name string, k known) engine.Order {
+	wanted := s.wanted[name]
+	drained := k.load.Role == RoleDrain && k.load.Running+k.load.Waiting == 0
+	if !drained || k.load.Loading || !k.loadFrom.IsZero() || k.load.WeightVersion == s.target(wanted) || !s.mayLoad(now) {
+		return nil
+	}
+	return engine.LoadModel{Model: wanted.Model, WeightVersion: s.target(wanted)}
+}
+
+// mayLoad keeps to the bound of the site and to the weight store's rate.
+func (s State) mayLoad(now time.Time) bool {
+	if now.Before(s.holdLoad) || !s.lastLoad.IsZero() && now.Sub(s.lastLoad) < s.options.LoadInterval {
+		return false
+	}
+	return s.loads() < s.options.MaxLoads
+}
+
+// loads counts the loads that may be under way, those of an earlier holder too.
+func (s State) loads() int {
+	count := 0
+	for _, k := range s.engines {
+		if k.load.Loading || !k.loadFrom.IsZero() {
+			count++
+		}
+	}
+	return count
+}
+
+// adapter loads an adapter beside the model; it needs no drain.
+func (s State) adapter(now time.Time, name string, k known) engine.Order {
+	wanted := s.wanted[name]
+	if k.load.Loading || !k.loadFrom.IsZero() || k.load.WeightVersion != s.target(wanted) {
+		return nil
+	}
+	for _, adapter := range slices.Sorted(maps.Keys(wanted.Adapters)) {
+		if k.load.Adapters[adapter] != wanted.Adapters[adapter] {
+			return engine.LoadAdapter{Adapter: adapter, Version: wanted.Adapters[adapter]}
+		}
+	}
+	return nil
+}
+
+// drain takes an engine with another version out of work, if enough others of
+// its model go on and it can be loaded soon.
+func (s State) drain(now time.Time, name string, k known) engine.Order {
+	wanted := s.wanted[name]
+	if k.load.Role == RoleDrain || k.load.Loading || k.load.Leaving || k.load.WeightVersion == s.target(wanted) {
+		return nil
+	}
+	staying, all, out := s.count(now, wanted.Model, name)
+	if out >= s.options.MaxLoads || staying < least(all) {
+		return nil
+	}
+	return engine.SetRole{Role: RoleDrain}
+}
+
+// count counts the other engines of a model that certainly serve, all engines
+// of the model, and the engines of the site that are out of work.
+func (s State) count(now time.Time, model, except string) (staying, all, out int) {
+	for name, wanted := range s.wanted {
+		k, seen := s.engines[name]
+		if seen && k.out(now) {
+			out++
+		}
+		if wanted.Model != model {
+			continue
+		}
+		all++
+		if name != except && seen && s.fresh(now, k) && k.serving(now) {
+			staying++
+		}
+	}
+	return staying, all, out
+}
+
+// least is the number of engines of a model that must go on serving: two in
+// three, and always one where there are two.
+func least(all int) int {
+	if all < 2 {
+		return 0
+	}
+	return max(1, all*2/3)
+}
--- a/internal/target/engine/report.go
+++ b/internal/target/engine/report.go
@@ -20,6 +20,12 @@
 	PrefillTokens int `json:"prefillTokens"`
 	// Leaving is true once the engine wants no new work.
 	Leaving bool `json:"leaving"`
+	// Loading is true while weights are being loaded.
+	Loading bool `json:"loading,omitempty"`
+	// Role is the role that the engine was ordered to take; empty means serve.
+	Role string `json:"role,omitempty"`
+	// Adapters are the versions of the loaded adapters by name.
+	Adapters map[string]string `json:"adapters,omitempty"`
 	// Age is how old the figures are.
 	Age time.Duration `json:"ageNanos"`
 }
