--- /dev/null
+++ b/docs/pages_test.go
@@ -0,0 +1,78 @@
+// Package docs_test checks that the pages speak of what is there.
+package docs_test
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// read returns the text of every file below a folder of the repository whose
+// path ends in suffix.
+func read(t *testing.T, folder, suffix string) map[string]string {
+	t.Helper()
+	texts := map[string]string{}
+	err := filepath.WalkDir(filepath.Join("..", folder), func(path string, entry os.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, suffix) {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		texts[path] = string(text)
+		return err
+	})
+	require.NoError(t, err)
+	return texts
+}
+
+func joined(texts map[string]string) string {
+	var all strings.Builder
+	for _, text := range texts {
+		all.WriteString(text)
+	}
+	return all.String()
+}
+
+func TestNamedTestsExist(t *testing.T) {
+	code := joined(read(t, "internal", "_test.go")) + joined(read(t, "cmd", "_test.go")) + joined(read(t, "docs", "_test.go"))
+	named := regexp.MustCompile("`(?:[a-z/]+\\.)?((?:Test|Fuzz|Benchmark)[A-Z]\\w*)`")
+	for path, text := range read(t, "docs", ".md") {
+		for _, match := range named.FindAllStringSubmatch(text, -1) {
+			assert.Contains(t, code, "func "+match[1]+"(", "%s names %s", path, match[1])
+		}
+	}
+}
+
+func TestNamedBenchmarksExist(t *testing.T) {
+	code := joined(read(t, "internal", "_test.go")) + joined(read(t, "cmd", "_test.go"))
+	command := regexp.MustCompile(`-bench[= ]'?\^?([A-Z]\w+)`)
+	pages := read(t, "docs", ".md")
+	for path, text := range read(t, "internal/tool/sizing", ".jsonc") {
+		pages[path] = text
+	}
+	for path, text := range pages {
+		for _, match := range command.FindAllStringSubmatch(text, -1) {
+			assert.Contains(t, code, "func Benchmark"+strings.TrimPrefix(match[1], "Benchmark"), "%s names %s", path, match[1])
+		}
+	}
+}
+
+func TestLinksResolve(t *testing.T) {
+	link := regexp.MustCompile(`\]\(([^)#:]+)(?:#[^)]*)?\)`)
+	pages := read(t, "docs", ".md")
+	for _, name := range []string{"README.md", "CONTRIBUTING.md"} {
+		text, err := os.ReadFile(filepath.Join("..", name))
+		require.NoError(t, err)
+		pages[filepath.Join("..", name)] = string(text)
+	}
+	for path, text := range pages {
+		for _, match := range link.FindAllStringSubmatch(text, -1) {
+			_, err := os.Stat(filepath.Join(filepath.Dir(path), match[1]))
+			assert.NoError(t, err, "%s links to %s", path, match[1])
+		}
+	}
+}
