--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -67,6 +67,7 @@
 	s.watch = newWatch(logger)
 	s.streams = newStreams(s.watch)
 	s.loop = loop.New(s.fetch)
+	s.loop.WithImport(s.importer(s.loop))
 	return s
 }
 
--- a/internal/route/cell/choose.go
+++ b/internal/route/cell/choose.go
@@ -18,7 +18,11 @@
 
 const (
 	baseRecompute = 0.5
-	ownerStray    = 50 * time.Millisecond
+	// queuedWeight is the part of an engine's waiting requests that a prefill delays.
+	queuedWeight = 1.0
+	// evictWeight is the part of the evicted blocks that are needed again.
+	evictWeight = 0.25
+	ownerStray  = 50 * time.Millisecond
 )
 
 // newWeights derives the balance from a configuration's weights; zeros count
@@ -42,18 +46,22 @@
 	ttft time.Duration
 	// cached are the blocks expected to be cached.
 	cached int
+	// imports is true when blocks should be imported from a source first.
+	imports bool
+	from    source
 }
 
 // choose returns the best engine for a request; the target is nil when there
 // is none. It allocates nothing.
 func (s State) choose(now time.Time, r *run) offer {
 	owner := s.owner(now, r)
+	recompute, from := s.recompute(), s.source(now, r)
 	best := offer{}
 	for _, t := range s.targets {
 		if !t.usable(now) || !t.serves(r) || r.hasTried(t.Name) {
 			continue
 		}
-		o := s.offer(now, r, t)
+		o := s.offer(now, r, t, recompute, from)
 		if t != owner {
 			o.cost += s.weights.stray.Seconds()
 		}
@@ -64,9 +72,19 @@
 	return best
 }
 
+// recompute returns what a second of prefill counts for beyond the delay of the
+// request itself. It grows with the queues: each request that waits is delayed
+// by it too.
+func (s State) recompute() float64 {
+	if len(s.targets) == 0 {
+		return s.weights.recompute
+	}
+	return s.weights.recompute + queuedWeight*float64(s.waiting)/float64(len(s.targets))
+}
+
 // offer estimates the time to first token of a request on an engine: the work
 // before it, its own uncached prompt, and what computing it costs the others.
-func (s State) offer(now time.Time, r *run, t *target) offer {
+func (s State) offer(now time.Time, r *run, t *target, recompute float64, from source) offer {
 	cached := t.cache.Depth(r.job.Blocks)
 	rate := t.load.Rate()
 	ahead := t.load.Prefill(now)
@@ -75,10 +93,35 @@
 	}
 	wait := float64(ahead) * rate
 	own := float64(r.uncached(cached)) * rate
-	return offer{
-		target: t, cached: cached, cost: wait + own*(1+s.weights.recompute),
+	o := offer{
+		target: t, cached: cached, cost: wait + own*(1+recompute),
 		ttft: time.Duration((wait + own) * float64(time.Second)),
 	}
+	if from.target == t || from.depth <= cached {
+		return o
+	}
+	o.cost += s.crowding(t, r, from.depth-cached)
+	if from.depth < cached+minImport {
+		return o
+	}
+	// An import runs while the request waits for its turn.
+	brought := s.importTime(from.depth - cached)
+	ready := max(wait, brought)
+	rest := float64(r.uncached(from.depth)) * rate
+	if cost := ready + rest*(1+recompute) + brought*importWeight + s.crowding(t, r, from.depth-cached); cost < o.cost {
+		o.cost, o.from, o.imports = cost, from, true
+		o.ttft = time.Duration((ready + rest) * float64(time.Second))
+	}
+	return o
+}
+
+// crowding is what a second copy of blocks counts for: it evicts others from a
+// full cache.
+func (s State) crowding(t *target, r *run, blocks int) float64 {
+	if !t.cache.Full() {
+		return 0
+	}
+	return evictWeight * float64(blocks*r.job.BlockTokens) * t.load.Rate()
 }
 
 // owner returns the computed owner of a request's prefix among the engines of
--- a/internal/route/cell/learn.go
+++ b/internal/route/cell/learn.go
@@ -9,12 +9,15 @@
 	moveAfter = 200 * time.Millisecond
 	// maxMoves bounds the requests reconsidered in one tick.
 	maxMoves = 64
-	// moveGain is the part of the cost that a move must save.
-	moveGain = 0.2
+	// moveGain and moveCost are the part of the cost and the time that a move
+	// must save.
+	moveGain = 0.3
+	moveCost = 300 * time.Millisecond
 )
 
 // replace takes a new list of engines. What is known of engines that stay is
-// kept, and so is the leaving mark, which belongs to an incarnation.
+// kept, and so is the leaving mark, which belongs to an incarnation. Of a new
+// engine it asks for a snapshot.
 func (s *State) replace(now time.Time, m Targets) []Command {
 	s.weights = newWeights(m.TailTTFT, m.Recomputation)
 	known := map[string]*target{}
@@ -22,10 +25,12 @@
 		known[t.Name] = t
 	}
 	s.targets = nil
+	var commands []Command
 	for i, next := range m.All {
 		t, ok := known[next.Name]
 		if !ok {
 			t = newTarget(next)
+			commands = append(commands, s.fetch(now, t)...)
 		}
 		delete(known, next.Name)
 		leaving, weights := t.Leaving, t.WeightVersion
@@ -42,7 +47,7 @@
 		s.targets = append(s.targets, t)
 	}
 	s.owners = newOwners(m.Shares)
-	var commands []Command
+	s.store.present = m.HasStore
 	for _, t := range m.gone(known) {
 		t.gone = true
 		commands = append(commands, s.clear(now, t)...)
@@ -121,11 +126,14 @@
 	var commands []Command
 	for _, id := range t.queue.IDs() {
 		r := t.queued[id]
+		if r.importing != nil && !now.Before(r.importUntil) {
+			s.endImport(r)
+		}
 		switch {
 		case !now.Before(r.deadline()):
 			s.dequeue(r)
 			commands = append(commands, s.refuse(r, "deadline", "the first token did not come in time", 0)...)
-		case *moves > 0 && now.Sub(r.placed) >= moveAfter:
+		case *moves > 0 && r.importing == nil && now.Sub(r.placed) >= moveAfter:
 			*moves--
 			r.placed = now
 			commands = append(commands, s.reconsider(now, r)...)
@@ -138,8 +146,8 @@
 func (s *State) reconsider(now time.Time, r *run) []Command {
 	from := r.target
 	best := s.choose(now, r)
-	stay := s.offer(now, r, from)
-	if best.target == nil || best.target == from || best.cost > stay.cost*(1-moveGain) {
+	stay := s.offer(now, r, from, s.recompute(), source{})
+	if best.target == nil || best.target == from || best.cost > min(stay.cost*(1-moveGain), stay.cost-moveCost.Seconds()) {
 		return nil
 	}
 	s.dequeue(r)
