--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -24,8 +24,6 @@
 	"github.com/cicadamill/cicadamill/internal/target/engine"
 )
 
-const maxBodyBytes = 8 << 20
-
 // Runner answers a request; events reach sink in order.
 type Runner interface {
 	Run(ctx context.Context, j job.Job, sink func(engine.Event) error) error
@@ -37,9 +35,11 @@
 	config func() site.Config
 	runner Runner
 	mux    *http.ServeMux
+	keys   auth.Cache
 }
 
-// New returns a handler. The function config returns the configuration in force.
+// New returns a handler. The function config returns the configuration in
+// force. The server around it bounds the bodies, see package limit.
 //
 //	handler := front.New("node-1", applied.Config, runner)
 func New(node string, config func() site.Config, runner Runner) *Handler {
@@ -54,12 +54,12 @@
 
 func (h *Handler) serveChat(w http.ResponseWriter, r *http.Request) {
 	config := h.config()
-	workspace, ok := auth.New(config).Workspace(r.Header)
+	workspace, ok := h.keys.Of(config).Workspace(r.Header)
 	if !ok {
 		fault.Write(w, unauthorized())
 		return
 	}
-	request, err := readChat(w, r)
+	request, err := readChat(r)
 	if err != nil {
 		fault.Write(w, err)
 		return
@@ -78,11 +78,11 @@
 	h.whole(w, r, j)
 }
 
-func readChat(w http.ResponseWriter, r *http.Request) (chat.Request, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return chat.Request{}, &fault.Error{Code: "bodyTooLarge", Status: http.StatusRequestEntityTooLarge, Outcome: effect.NotRun{}, Message: "the body is larger than " + strconv.Itoa(maxBodyBytes) + " bytes"}
+func readChat(r *http.Request) (chat.Request, error) {
+	body, err := io.ReadAll(r.Body)
+	var limit *fault.Error
+	if errors.As(err, &limit) {
+		return chat.Request{}, limit
 	}
 	if err != nil {
 		return chat.Request{}, &fault.Error{Code: "bodyUnread", Status: http.StatusBadRequest, Outcome: effect.NotRun{}, Message: "the body could not be read"}
@@ -130,7 +130,7 @@
 }
 
 func (h *Handler) serveModels(w http.ResponseWriter, r *http.Request) {
-	workspace, ok := auth.New(h.config()).Workspace(r.Header)
+	workspace, ok := h.keys.Of(h.config()).Workspace(r.Header)
 	if !ok {
 		fault.Write(w, unauthorized())
 		return
