--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -17,6 +17,7 @@
 	"github.com/cicadamill/cicadamill/internal/config/local"
 	"github.com/cicadamill/cicadamill/internal/config/site"
 	"github.com/cicadamill/cicadamill/internal/entry/front"
+	"github.com/cicadamill/cicadamill/internal/entry/limit"
 	"github.com/cicadamill/cicadamill/internal/node/flow"
 	"github.com/cicadamill/cicadamill/internal/node/loop"
 	"github.com/cicadamill/cicadamill/internal/route/cell"
@@ -25,10 +26,8 @@
 )
 
 const (
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 2 * time.Minute
-	maxHeader     = 64 << 10
-	drainTimeout  = 30 * time.Second
+	idleTimeout  = 2 * time.Minute
+	drainTimeout = 30 * time.Second
 )
 
 // Server is one node.
@@ -41,6 +40,7 @@
 	http     *http.Client
 	ready    chan Addresses
 	watch    watch
+	streams  streams
 }
 
 // Addresses are where a running node listens.
@@ -64,6 +64,7 @@
 		http:     &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: idleTimeout}},
 	}
 	s.watch = newWatch(logger)
+	s.streams = newStreams(s.watch)
 	s.loop = loop.New(s.fetch)
 	return s
 }
@@ -82,25 +83,29 @@
 	}
 	s.logger.Info("configuration applied", "version", number)
 	s.watch.rank(config)
-	return s.loop.Send(ctx, cell.Targets{All: targets(config)})
+	return s.loop.Send(ctx, engineList(config))
 }
 
 // Serve runs the node until the context ends.
 func (s *Server) Serve(ctx context.Context) error {
-	if err := s.Apply(ctx, 0, s.settings.Bootstrap); err != nil {
-		return errors.Annotate(err, "applying the bootstrap configuration")
+	if err := s.bootstrap(ctx); err != nil {
+		return err
 	}
 	operators, err := s.openOperators()
 	if err != nil {
 		return err
 	}
-	handler := s.watch.callers(front.New(s.settings.Name, s.applied.Config, s.watch.runner(flow.New(s.loop, s.dial))))
-	listener, err := net.Listen("tcp", s.settings.CallerAddress)
+	effects := s.openEffects()
+	defer effects.close()
+	handler := s.watch.callers(effects.around(front.New(s.settings.Name, s.applied.Config, s.watch.runner(flow.New(s.loop, s.dial, s.streams.flow...)), s.streams.front)))
+	listener, err := s.listen("callers", s.settings.CallerAddress, s.settings.CallerTLS)
 	if err != nil {
-		return errors.Annotate(err, "opening the callers' listener")
+		return err
 	}
 	supervisor := suture.New(s.settings.Name, suture.Spec{EventHook: s.supervised})
 	supervisor.Add(s.loop)
+	supervisor.Add(s.streams.guard)
+	supervisor.Add(s.poller())
 	if operators != nil {
 		supervisor.Add(operators)
 	}
@@ -112,9 +117,7 @@
 }
 
 func (s *Server) serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler, stopped <-chan error) error {
-	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-	}
+	server := limit.Server(handler, s.settings.Limits)
 	ended := make(chan error, 1)
 	go func(context.Context) { ended <- server.Serve(listener) }(ctx)
 	select {
