--- a/internal/node/loop/loop.go
+++ b/internal/node/loop/loop.go
@@ -35,6 +35,7 @@
 	inbox   chan cell.Message
 	fetch   func(ctx context.Context, target string)
 	stopped chan struct{}
+	bring   func(ctx context.Context, command cell.Import)
 	update  func(cell.State, time.Time, cell.Message) (cell.State, []cell.Command)
 
 	mu        sync.Mutex
@@ -134,12 +135,31 @@
 			l.deliver(c.Job, c)
 		case cell.Fetch:
 			l.fetch(ctx, c.Target)
+		case cell.Import:
+			l.importBlocks(ctx, c)
 		case cell.Wake:
 			clock.wakeAt(c.At)
 		}
 	}
 }
 
+// WithImport sets the function that runs an import in the background and sends
+// its end as [cell.Imported]. Without one every import fails at once.
+func (l *Loop) WithImport(bring func(ctx context.Context, command cell.Import)) *Loop {
+	l.bring = bring
+	return l
+}
+
+func (l *Loop) importBlocks(ctx context.Context, c cell.Import) {
+	if l.bring != nil {
+		l.bring(ctx, c)
+		return
+	}
+	go func(ctx context.Context) {
+		_ = l.Send(ctx, cell.Imported{Job: c.Job, Target: c.Target, Incarnation: c.Incarnation, WeightVersion: c.WeightVersion})
+	}(ctx)
+}
+
 func (l *Loop) deliver(id string, command cell.Command) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/node/server/operators.go
+++ b/internal/node/server/operators.go
@@ -7,8 +7,13 @@
 	"net/http/pprof"
 
 	"github.com/juju/errors"
+
+	"github.com/cicadamill/cicadamill/internal/entry/limit"
 )
 
+// maxConfigBytes bounds what an operator may send.
+const maxConfigBytes = 32 << 20
+
 // operators is the listener for operators, a suture service. It is apart from
 // the callers' listener and answers nothing that a caller could reach.
 type operators struct {
@@ -21,9 +26,12 @@
 	if s.settings.OperatorAddress == "" {
 		return nil, nil
 	}
-	listener, err := net.Listen("tcp", s.settings.OperatorAddress)
+	listener, err := s.listen("operators", s.settings.OperatorAddress, s.settings.OperatorTLS)
 	if err != nil {
-		return nil, errors.Annotate(err, "opening the operators' listener")
+		return nil, err
+	}
+	if !s.settings.OperatorTLS.Set() {
+		s.logger.Warn("operators connect without keys: anyone who reaches the listener may change the configuration", "address", listener.Addr().String())
 	}
 	return &operators{server: s, listener: listener}, nil
 }
@@ -38,9 +46,9 @@
 
 // Serve answers operators until the context ends.
 func (o *operators) Serve(ctx context.Context) error {
-	server := &http.Server{
-		Handler: o.handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-	}
+	limits := o.server.settings.Limits
+	limits.BodyBytes = maxConfigBytes
+	server := limit.Server(o.handler(), limits)
 	ended := make(chan error, 1)
 	go func(context.Context) { ended <- server.Serve(o.listener) }(ctx)
 	select {
