--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -17,6 +17,7 @@
 	"github.com/cicadamill/cicadamill/internal/config/local"
 	"github.com/cicadamill/cicadamill/internal/config/site"
 	"github.com/cicadamill/cicadamill/internal/entry/front"
+	"github.com/cicadamill/cicadamill/internal/entry/limit"
 	"github.com/cicadamill/cicadamill/internal/node/flow"
 	"github.com/cicadamill/cicadamill/internal/node/loop"
 	"github.com/cicadamill/cicadamill/internal/route/cell"
@@ -25,10 +26,8 @@
 )
 
 const (
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 2 * time.Minute
-	maxHeader     = 64 << 10
-	drainTimeout  = 30 * time.Second
+	idleTimeout  = 2 * time.Minute
+	drainTimeout = 30 * time.Second
 )
 
 // Server is one node.
@@ -67,6 +66,7 @@
 	s.watch = newWatch(logger)
 	s.streams = newStreams(s.watch)
 	s.loop = loop.New(s.fetch)
+	s.loop.WithImport(s.importer(s.loop))
 	return s
 }
 
@@ -89,8 +89,8 @@
 
 // Serve runs the node until the context ends.
 func (s *Server) Serve(ctx context.Context) error {
-	if err := s.Apply(ctx, 0, s.settings.Bootstrap); err != nil {
-		return errors.Annotate(err, "applying the bootstrap configuration")
+	if err := s.bootstrap(ctx); err != nil {
+		return err
 	}
 	operators, err := s.openOperators()
 	if err != nil {
@@ -99,9 +99,9 @@
 	effects := s.openEffects()
 	defer effects.close()
 	handler := s.watch.callers(effects.around(front.New(s.settings.Name, s.applied.Config, s.watch.runner(flow.New(s.loop, s.dial, s.streams.flow...)), s.streams.front)))
-	listener, err := net.Listen("tcp", s.settings.CallerAddress)
+	listener, err := s.listen("callers", s.settings.CallerAddress, s.settings.CallerTLS)
 	if err != nil {
-		return errors.Annotate(err, "opening the callers' listener")
+		return err
 	}
 	supervisor := suture.New(s.settings.Name, suture.Spec{EventHook: s.supervised})
 	supervisor.Add(s.loop)
@@ -118,9 +118,7 @@
 }
 
 func (s *Server) serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler, stopped <-chan error) error {
-	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-	}
+	server := limit.Server(handler, s.settings.Limits)
 	ended := make(chan error, 1)
 	go func(context.Context) { ended <- server.Serve(listener) }(ctx)
 	select {
--- a/internal/route/cell/work.go
+++ b/internal/route/cell/work.go
@@ -13,6 +13,9 @@
 	// maxAhead are the prompt tokens that an engine may have before it; more
 	// wait here, where their order can still change.
 	maxAhead = 4000
+	// extraAhead and extraCalls are the bounds for workspaces that are behind.
+	extraAhead = 3 * maxAhead
+	extraCalls = 8
 	// noEngineRetry is the wait told when no engine can be used.
 	noEngineRetry = time.Second
 )
@@ -48,12 +51,13 @@
 }
 
 func (s *State) enqueue(now time.Time, r *run, o offer) {
-	r.target, r.phase, r.placed = o.target, waits, now
+	r.target, r.phase, r.placed, r.brought = o.target, waits, now, false
 	s.waiting++
 	o.target.queued[r.job.ID] = r
-	o.target.queue.Push(queue.Item{
-		ID: r.job.ID, Flow: r.flow(), Weight: r.weight(), Cost: r.uncached(o.cached) + answerTokens,
-	})
+	r.item = queue.Item{
+		ID: r.job.ID, Flow: r.flow(), Weight: r.weight(), Cost: r.uncached(max(o.cached, o.from.depth)) + answerTokens,
+	}
+	o.target.queue.Push(r.item)
 }
 
 // dequeue takes a waiting request out of its engine's queue.
@@ -62,29 +66,65 @@
 		return
 	}
 	delete(r.target.queued, r.job.ID)
-	r.target.queue.Remove(r.job.ID)
+	r.target.queue.Remove(r.item)
 	s.waiting--
+	s.endImport(r)
 }
 
-// dispatch sends waiting requests to an engine while it has room.
+// dispatch sends waiting requests to an engine while it has room. One whose
+// blocks should be imported first waits on while others go.
 func (s *State) dispatch(now time.Time, t *target) []Command {
 	var commands []Command
-	for t.queue.Len() > 0 && t.usable(now) && !t.load.Full(now) && t.load.Prefill(now) < maxAhead {
-		item, ok := t.queue.Pop(func(item queue.Item) bool { return !s.mustHold(t, t.queued[item.ID]) })
-		if !ok {
+	for t.queue.Len() > 0 && t.usable(now) {
+		item, ok := t.queue.Next(func(item queue.Item) (float64, bool) { return s.rank(now, t, t.queued[item.ID]) })
+		if !ok || !t.hasRoom(now, t.queue.Behind(item.Flow)) {
 			break
 		}
 		r := t.queued[item.ID]
+		if from, ok := s.worthImport(now, r); ok {
+			if s.canImport(t, t.queue.Behind(item.Flow)) {
+				commands = append(commands, s.bring(now, r, from))
+			} else {
+				r.pausedUntil = now.Add(importPause)
+			}
+			continue
+		}
+		r.behind = t.queue.Behind(item.Flow)
+		t.queue.Take(item)
 		delete(t.queued, item.ID)
 		s.waiting--
 		commands = append(commands, s.send(now, r))
+		commands = append(commands, s.spread(now, r)...)
 	}
 	return commands
 }
 
+// hasRoom reports whether the engine should get another request now. One of a
+// workspace that is behind its share may go beyond, since the engine's own queue
+// puts it first.
+func (t *target) hasRoom(now time.Time, behind bool) bool {
+	if behind {
+		return !t.load.Full(now, extraCalls) && t.load.Prefill(now) < extraAhead
+	}
+	return !t.load.Full(now, 0) && t.load.Prefill(now) < maxAhead
+}
+
+// rank orders the waiting requests of one flow by their response ratio: those
+// whose prompt is cached go first, while it is, and none waits forever.
+func (s *State) rank(now time.Time, t *target, r *run) (float64, bool) {
+	if now.Before(r.pausedUntil) || s.mustHold(t, r) {
+		return 0, false
+	}
+	own := float64(r.uncached(t.cache.Depth(r.job.Blocks))) * t.load.Rate()
+	return now.Sub(r.arrived).Seconds() / own, true
+}
+
 // mustHold reports whether a request should wait until another one has computed
 // a prefix that both share.
 func (s *State) mustHold(t *target, r *run) bool {
+	if r.importing != nil {
+		return true
+	}
 	if len(t.leads) == 0 {
 		return false
 	}
