--- a/internal/standin/model/control.go
+++ b/internal/standin/model/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -11,7 +12,10 @@
 	"github.com/cicadamill/cicadamill/internal/target/engine"
 )
 
-const keptLoads = 256
+const (
+	keptLoads = 256
+	roleDrain = "drain"
+)
 
 func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
@@ -33,6 +37,7 @@
 	load := e.batch.Load()
 	load.Incarnation, load.Model, load.WeightVersion = e.incarnation, e.options.Model, e.weights
 	load.Leaving = e.leaving
+	load.Loading, load.Role, load.Adapters = e.loading, e.role, maps.Clone(e.adapters)
 	e.loads = append(e.loads, timedLoad{Load: load, at: now})
 	if len(e.loads) > keptLoads {
 		e.loads = e.loads[1:]
--- a/internal/target/guard/guard.go
+++ b/internal/target/guard/guard.go
@@ -79,9 +79,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c}, nil
+	return Wrap(c), nil
 }
 
+// Wrap makes a connection one on which a [Once] can watch.
+func Wrap(c net.Conn) net.Conn { return &conn{Conn: c} }
+
 type conn struct {
 	net.Conn
 	once atomic.Pointer[Once]
