--- a/internal/node/orders/orders_test.go
+++ b/internal/node/orders/orders_test.go
@@ -234,28 +234,32 @@
 	})
 }
 
-// TestPausedHolderSendsNothing pauses a holder between its decision and the
-// first byte of an order, longer than its lease, before engines that would obey.
-func TestPausedHolderSendsNothing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		p := newPlant(t, 3, false)
-		var paused atomic.Bool
-		stop := p.node(func() {
-			if paused.Load() {
-				time.Sleep(2 * time.Second)
-			}
+// TestLapsingHolderSendsNothing takes the table away and then asks for orders
+// when the lease covers no whole order any more, also with a pause between the
+// decision and the first byte. The engines would obey.
+func TestLapsingHolderSendsNothing(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"no pause": 0, "paused until the lease has lapsed": 2 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newPlant(t, 3, false)
+				var paused atomic.Bool
+				stop := p.node(func() {
+					if paused.Load() {
+						time.Sleep(pause)
+					}
+				})
+				time.Sleep(30 * time.Second)
+				p.table.SetFault(func(tables.Request) tables.Fault { return tables.Down })
+				time.Sleep(7 * time.Second)
+				p.want("2")
+				paused.Store(true)
+				time.Sleep(time.Minute)
+				assert.Zero(t, p.orders())
+				stop()
+				p.stop()
+			})
 		})
-		time.Sleep(30 * time.Second)
-		p.table.SetFault(func(tables.Request) tables.Fault { return tables.Down })
-		// The lease is good for a while yet, but not for as long as an order.
-		time.Sleep(7 * time.Second)
-		p.want("2")
-		paused.Store(true)
-		time.Sleep(time.Minute)
-		assert.Zero(t, p.orders())
-		stop()
-		p.stop()
-	})
+	}
 }
 
 func TestFencingNumbers(t *testing.T) {
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -107,6 +107,7 @@
 	supervisor.Add(s.loop)
 	supervisor.Add(s.streams.guard)
 	supervisor.Add(s.poller())
+	supervisor.Add(s.giver())
 	if operators != nil {
 		supervisor.Add(operators)
 	}
--- a/internal/safety/order/order_test.go
+++ b/internal/safety/order/order_test.go
@@ -92,7 +92,7 @@
 		if o.WeightVersion == p.bad {
 			return order.Refused
 		}
-		m.load.Loading, m.next, m.loadEnds = true, o.WeightVersion, p.now.Add(2*time.Second)
+		m.load.Loading, m.next, m.loadEnds = true, o.WeightVersion, p.now.Add(5*time.Second)
 	case engine.LoadAdapter:
 		m.load.Adapters = map[string]string{o.Adapter: o.Version}
 	case engine.SetRole:
@@ -112,6 +112,7 @@
 }
 
 func serving(load engine.Load) bool { return load.Role != order.RoleDrain && !load.Loading }
+func drained(load engine.Load) bool { return load.Role == order.RoleDrain }
 func loading(load engine.Load) bool { return load.Loading }
 
 func (p *plant) at(version string) int {
@@ -132,6 +133,7 @@
 			for range 300 {
 				p.second()
 				require.LessOrEqual(t, p.count(loading), 2)
+				require.LessOrEqual(t, p.count(drained), 2)
 				require.GreaterOrEqual(t, p.count(serving), min(count-1, count*2/3))
 			}
 			assert.Equal(t, count, p.at("2"))
@@ -164,6 +166,21 @@
 	assert.Equal(t, 9, p.at("3"))
 }
 
+// TestLoadsOfAnEarlierHolderCount starts with more engines out of work than may
+// load at once.
+func TestLoadsOfAnEarlierHolderCount(t *testing.T) {
+	p := newPlant(9, "1")
+	for _, name := range []string{"e00", "e01", "e02", "e03"} {
+		p.machines[name].load.Role = order.RoleDrain
+	}
+	p.want("2")
+	for range 100 {
+		p.second()
+		require.LessOrEqual(t, p.count(loading), 2)
+	}
+	assert.Equal(t, 9, p.at("2"))
+}
+
 func TestRules(t *testing.T) {
 	tests := map[string]struct {
 		change func(p *plant)
--- a/internal/safety/order/rules.go
+++ b/internal/safety/order/rules.go
@@ -46,7 +46,7 @@
 }
 
 // adapter loads an adapter beside the model; it needs no drain.
-func (s State) adapter(now time.Time, name string, k known) engine.Order {
+func (s State) adapter(_ time.Time, name string, k known) engine.Order {
 	wanted := s.wanted[name]
 	if k.load.Loading || !k.loadFrom.IsZero() || k.load.WeightVersion != s.target(wanted) {
 		return nil
