--- a/internal/fleet/member/spread.go
+++ b/internal/fleet/member/spread.go
@@ -25,7 +25,8 @@
 	entriesPerSec  = 16
 	maxAllowance   = 32
 	maxKnownCrash  = 256
-	crashLifetime  = 10 * time.Minute
+	crashLifetime  = 15 * time.Minute
+	crashTolerance = time.Second
 	announceShare  = 200 * time.Millisecond
 )
 
@@ -97,7 +98,7 @@
 		return
 	}
 	known, ok := t.crashes[c.Fingerprint]
-	if ok && known.Count >= c.Count {
+	if ok && known.Count >= c.Count && t.now.Add(-age).Sub(known.at) <= crashTolerance {
 		return
 	}
 	if !ok && len(t.crashes) >= maxKnownCrash {
