--- a/internal/fleet/homes/homes.go
+++ b/internal/fleet/homes/homes.go
@@ -4,7 +4,6 @@
 package homes
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -25,7 +24,7 @@
 
 // State remembers since when each node has been up.
 type State struct {
-	nodes map[string]candidate
+	nodes []candidate
 	begun bool
 }
 
@@ -46,21 +45,22 @@
 // now on. One that comes or comes back is a home only after a delay, so that a
 // flapping node moves no cells; the first list counts at once.
 func (s State) Update(now time.Time, nodes []Node) State {
-	next := make(map[string]candidate, len(nodes))
+	known := make(map[string]time.Time, len(s.nodes))
+	for _, c := range s.nodes {
+		known[c.Name] = c.from
+	}
+	next := make([]candidate, 0, len(nodes))
 	for _, n := range nodes {
 		if !n.Up {
 			continue
 		}
-		c, known := s.nodes[n.Name]
-		switch {
-		case known:
-			c.Node = n
-		case s.begun:
-			c = candidate{Node: n, from: now.Add(returnDelay), hash: xxh3.HashString(n.Name)}
-		default:
-			c = candidate{Node: n, from: now, hash: xxh3.HashString(n.Name)}
+		c := candidate{Node: n, from: now, hash: xxh3.HashString(n.Name)}
+		if from, ok := known[n.Name]; ok {
+			c.from = from
+		} else if s.begun {
+			c.from = now.Add(returnDelay)
 		}
-		next[n.Name] = c
+		next = append(next, c)
 	}
 	return State{nodes: next, begun: true}
 }
@@ -68,33 +68,48 @@
 // Rank returns the names of the first count homes of a cell, best first. Nodes
 // in the cell's data centre come before all others.
 func (s State) Rank(now time.Time, cell, dataCentre string, count int) []string {
-	type scored struct {
-		name  string
-		near  int
-		score uint64
-	}
 	key := xxh3.HashString(cell)
-	all := make([]scored, 0, len(s.nodes))
-	for _, c := range s.nodes {
+	best := make([]scored, 0, count+1)
+	for i := range s.nodes {
+		c := &s.nodes[i]
 		if now.Before(c.from) {
 			continue
 		}
-		near := 0
-		if c.DataCentre == dataCentre {
-			near = 1
+		next := scored{name: c.Name, near: c.DataCentre == dataCentre, score: mix(key ^ c.hash)}
+		if len(best) == count && !next.beats(best[count-1]) {
+			continue
+		}
+		at := 0
+		for at < len(best) && !next.beats(best[at]) {
+			at++
 		}
-		all = append(all, scored{name: c.Name, near: near, score: mix(key ^ c.hash)})
+		best = slices.Insert(best, at, next)
+		best = best[:min(count, len(best))]
 	}
-	slices.SortFunc(all, func(a, b scored) int {
-		return cmp.Or(b.near-a.near, cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
-	})
 	names := make([]string, 0, count)
-	for _, c := range all[:min(count, len(all))] {
+	for _, c := range best {
 		names = append(names, c.name)
 	}
 	return names
 }
 
+type scored struct {
+	name  string
+	near  bool
+	score uint64
+}
+
+func (a scored) beats(b scored) bool {
+	switch {
+	case a.near != b.near:
+		return a.near
+	case a.score != b.score:
+		return a.score > b.score
+	default:
+		return a.name < b.name
+	}
+}
+
 // mix is the finaliser of a 64-bit hash.
 func mix(x uint64) uint64 {
 	x ^= x >> 33
--- a/internal/fleet/member/view.go
+++ b/internal/fleet/member/view.go
@@ -40,3 +40,14 @@
 
 // LeavingTargets returns the names of the targets that may get no new work.
 func (s State) LeavingTargets() []string { return s.marks.Names() }
+
+// Address returns where other nodes reach a node, and whether it is this one.
+func (s State) Address(name string) (string, bool) {
+	if name == s.self.Name {
+		return s.self.Address, true
+	}
+	if p, ok := s.members[name]; ok {
+		return p.entry.Address, false
+	}
+	return "", false
+}
