Wire nodes together: peers' listener, one loop per cell, graceful stop

Cause: nodes decided alone; a stop ended the decision loop at once and cut streams after 30 s; all engines were polled by all nodes.

Change: with a peers' address a node gossips, hands requests to homes and takes them from others. Engines are polled only for cells that run here, and the polls are paced to 3 KB/s. A leaving target is marked from its report, the host list or another node, and the mark is checked right before a call leaves. A stop turns readiness off, lets homes move, serves on through the balancer's lag, then waits for every answer, forwarded ones included; only a limit in the settings cuts, with a count and a log line.

--- a/internal/fleet/homes/homes.go
+++ b/internal/fleet/homes/homes.go
@@ -22,10 +22,10 @@
 	Up bool
 }
 
-// State remembers since when each node has been up.
+// State remembers which nodes are up and when others went.
 type State struct {
 	nodes []candidate
-	begun bool
+	gone  map[string]time.Time
 }
 
 type candidate struct {
@@ -42,27 +42,35 @@
 func New() State { return State{} }
 
 // Update takes the whole list of nodes. A node that went away is no home from
-// now on. One that comes or comes back is a home only after a delay, so that a
-// flapping node moves no cells; the first list counts at once.
+// now on, and for some time after that, so that a flapping node moves no cells.
+// One that was not there before counts at once.
 func (s State) Update(now time.Time, nodes []Node) State {
-	known := make(map[string]time.Time, len(s.nodes))
-	for _, c := range s.nodes {
-		known[c.Name] = c.from
-	}
-	next := make([]candidate, 0, len(nodes))
+	next := State{gone: map[string]time.Time{}, nodes: make([]candidate, 0, len(nodes))}
 	for _, n := range nodes {
-		if !n.Up {
-			continue
+		if n.Up {
+			next.nodes = append(next.nodes, candidate{Node: n, hash: xxh3.HashString(n.Name)})
+		}
+	}
+	for name, went := range s.gone {
+		if now.Sub(went) < returnDelay {
+			next.gone[name] = went
 		}
-		c := candidate{Node: n, from: now, hash: xxh3.HashString(n.Name)}
-		if from, ok := known[n.Name]; ok {
-			c.from = from
-		} else if s.begun {
-			c.from = now.Add(returnDelay)
+	}
+	still := make(map[string]bool, len(next.nodes))
+	for _, c := range next.nodes {
+		still[c.Name] = true
+	}
+	for _, c := range s.nodes {
+		if !still[c.Name] {
+			next.gone[c.Name] = now
+		}
+	}
+	for i, c := range next.nodes {
+		if went, ok := next.gone[c.Name]; ok {
+			next.nodes[i].from = went.Add(returnDelay)
 		}
-		next = append(next, c)
 	}
-	return State{nodes: next, begun: true}
+	return next
 }
 
 // Rank returns the names of the first count homes of a cell, best first. Nodes
--- a/internal/fleet/homes/homes_test.go
+++ b/internal/fleet/homes/homes_test.go
@@ -42,6 +42,9 @@
 		after time.Duration
 		want  string
 	}{
+		"a new node counts at once": {steps: func(homes.State) homes.State {
+			return homes.New().Update(start, away(fleet(6), first)).Update(start, fleet(6))
+		}, want: first},
 		"first list counts at once":           {steps: func(s homes.State) homes.State { return s }, want: first},
 		"home leaves":                         {steps: func(s homes.State) homes.State { return s.Update(start, away(fleet(6), first)) }, want: second},
 		"home is back, too early":             {steps: func(s homes.State) homes.State { return s.Update(start, away(fleet(6), first)).Update(start, fleet(6)) }, after: 9 * time.Second, want: second},
--- a/internal/fleet/mark/mark.go
+++ b/internal/fleet/mark/mark.go
@@ -74,11 +74,17 @@
 }
 
 // List takes the names of targets that the platform's list shows as leaving. It
-// marks the incarnation seen last of each, and returns the new marks. A target
-// whose incarnation is unknown counts as leaving while the list says so.
+// marks the incarnation seen last of each that the list did not show before, and
+// returns the new marks; a later incarnation is not to blame for a list that
+// lags. A target whose incarnation is unknown counts as leaving while the list
+// says so.
 func (s Set) List(now time.Time, leaving []string) []note.Mark {
-	for _, t := range s.targets {
-		t.listed = false
+	before := map[string]bool{}
+	for name, t := range s.targets {
+		if t.listed {
+			before[name] = true
+			t.listed = false
+		}
 	}
 	var added []note.Mark
 	for _, name := range leaving {
@@ -87,6 +93,9 @@
 			continue
 		}
 		t.listed = true
+		if before[name] {
+			continue
+		}
 		m := note.Mark{Target: name, Incarnation: t.seen}
 		if s.Add(now, m) {
 			added = append(added, m)
@@ -102,11 +111,14 @@
 	if !ok {
 		return false
 	}
+	if t.listed && t.seen == unknown {
+		return true
+	}
 	if incarnation == unknown {
 		incarnation = t.seen
 	}
 	if incarnation == unknown {
-		return t.listed || len(t.marked) > 0
+		return len(t.marked) > 0
 	}
 	return t.has(incarnation)
 }
--- a/internal/fleet/mark/mark_test.go
+++ b/internal/fleet/mark/mark_test.go
@@ -30,8 +30,15 @@
 			s.Saw("e", "2")
 			s.Saw("e", "1")
 		}, want: true},
-		"listed, incarnation known":      {prepare: func(s mark.Set) { s.Saw("e", "1"); s.List(start, []string{"e"}); s.List(start, nil) }, want: true},
-		"listed, incarnation unknown":    {prepare: func(s mark.Set) { s.List(start, []string{"e"}) }, want: true},
+		"listed, incarnation known":   {prepare: func(s mark.Set) { s.Saw("e", "1"); s.List(start, []string{"e"}); s.List(start, nil) }, want: true},
+		"listed, incarnation unknown": {prepare: func(s mark.Set) { s.List(start, []string{"e"}) }, want: true},
+		"listed, any start of it":     {prepare: func(s mark.Set) { s.List(start, []string{"e"}) }, incarnation: "7", want: true},
+		"came back, list lags": {prepare: func(s mark.Set) {
+			s.Saw("e", "1")
+			s.List(start, []string{"e"})
+			s.Saw("e", "2")
+			s.List(start, []string{"e"})
+		}},
 		"no longer listed, never marked": {prepare: func(s mark.Set) { s.List(start, []string{"e"}); s.List(start, nil) }},
 		"a day later": {prepare: func(s mark.Set) {
 			s.Add(start, note.Mark{Target: "e", Incarnation: "1"})
--- a/internal/fleet/member/command.go
+++ b/internal/fleet/member/command.go
@@ -71,21 +71,21 @@
 // The names of the counters.
 const (
 	// CountSuspected counts nodes that this node itself began to suspect.
-	CountSuspected = "memberSuspected"
+	CountSuspected = "member_suspected"
 	// CountDead counts nodes whose suspicion ran out here.
-	CountDead = "memberDead"
+	CountDead = "member_dead"
 	// CountRefuted counts refutations of this node's own suspicion or death.
-	CountRefuted = "memberRefuted"
+	CountRefuted = "member_refuted"
 	// CountVouched counts failed exchanges that another node's word excused.
-	CountVouched = "memberVouched"
+	CountVouched = "member_vouched"
 	// CountDoubtedDeath counts reports of death of nodes that had just answered.
-	CountDoubtedDeath = "memberDeathDoubted"
+	CountDoubtedDeath = "member_death_doubted"
 	// CountReturned counts dead nodes that came back.
-	CountReturned = "memberReturned"
+	CountReturned = "member_returned"
 	// CountStalled counts pauses of this node's own process.
-	CountStalled = "memberStalled"
+	CountStalled = "member_stalled"
 	// CountRepaired counts exchanges in which the views differed.
-	CountRepaired = "memberRepaired"
+	CountRepaired = "member_repaired"
 	// CountDropped counts news and members given up because a bound was reached.
-	CountDropped = "memberDropped"
+	CountDropped = "member_dropped"
 )
--- a/internal/node/cells/cells.go
+++ b/internal/node/cells/cells.go
@@ -39,6 +39,8 @@
 	Targets func(site.Config) cell.Targets
 	// Dial finds the client of an engine.
 	Dial func(target string) (engine.Client, bool)
+	// Prepare is called with each new loop before it runs; nil means nothing.
+	Prepare func(*loop.Loop)
 	// Leaving returns the targets that may get no new work.
 	Leaving func() []string
 	// Flow are the options of every runner.
@@ -217,6 +219,9 @@
 func (s *Set) start(id string, engines []string) *entry {
 	e := &entry{id: id, engines: engines, users: 1}
 	e.loop = loop.New(func(ctx context.Context, target string) { s.fetch(ctx, e.loop, target) })
+	if s.options.Prepare != nil {
+		s.options.Prepare(e.loop)
+	}
 	e.runner = flow.New(e.loop, s.options.Dial, s.options.Flow...)
 	e.token = s.supervisor.Add(e.loop)
 	s.loops[id] = e
--- a/internal/node/flow/attempt.go
+++ b/internal/node/flow/attempt.go
@@ -97,6 +97,10 @@
 		return a.notRun(engine.Unreachable, "no such engine")
 	}
 	a.bringIn(client)
+	if gate := a.life.runner.gate; gate != nil && gate(a.start.Target, a.start.Incarnation) {
+		a.life.runner.scope.Counter("leaving_refused").Inc(1)
+		return a.notRun(engine.Leaving, "the engine is leaving")
+	}
 	return a.explain(client.Complete(a.ctx, a.call(), a.event))
 }
 
--- a/internal/node/flow/flow.go
+++ b/internal/node/flow/flow.go
@@ -36,6 +36,7 @@
 	scope tally.Scope
 	first time.Duration
 	stall time.Duration
+	gate  func(target, incarnation string) bool
 }
 
 // Option changes a [Runner].
@@ -48,6 +49,12 @@
 // WithScope sets where counters go.
 func WithScope(scope tally.Scope) Option { return func(r *Runner) { r.scope = scope } }
 
+// WithGate sets what is asked right before a call leaves: whether the target may
+// get no new work.
+func WithGate(isLeaving func(target, incarnation string) bool) Option {
+	return func(r *Runner) { r.gate = isLeaving }
+}
+
 // WithFirst bounds the time to the first token of an attempt.
 func WithFirst(d time.Duration) Option { return func(r *Runner) { r.first = d } }
 
--- a/internal/node/gossip/list.go
+++ b/internal/node/gossip/list.go
@@ -68,13 +68,13 @@
 			message.LeavingTargets = append(message.LeavingTargets, h.Name)
 		}
 	}
+	before := g.lagged
 	g.lookUp(ctx, message.LeavingTargets)
 	g.update(message)
-	if g.options.Leaving == nil {
-		return
-	}
 	for _, name := range message.LeavingTargets {
-		g.options.Leaving(name)
+		if _, known := before[name]; !known && g.options.Leaving != nil {
+			g.options.Leaving(name)
+		}
 	}
 }
 
@@ -85,11 +85,11 @@
 	asked := 0
 	for _, name := range leaving {
 		if g.lagged[name] || g.options.Dial == nil {
-			next[name] = g.lagged[name]
+			next[name] = true
 			continue
 		}
 		if asked++; asked > maxLookUps {
-			break
+			continue
 		}
 		next[name] = g.ask(ctx, name)
 	}
--- a/internal/node/poll/poll.go
+++ b/internal/node/poll/poll.go
@@ -18,14 +18,19 @@
 	timeout   = time.Second
 	maxEvents = 200
 	muteTime  = 5 * time.Minute
+
+	bytesPerSecond = 3 << 10
+	bytesPerAnswer = 350
+	bytesPerEvent  = 48
 )
 
 // Poller is a suture service.
 type Poller struct {
 	engines func() []string
 	dial    func(target string) (engine.Client, bool)
-	tell    func(ctx context.Context, message cell.Message)
+	tell    func(ctx context.Context, target string, message cell.Message)
 	scope   tally.Scope
+	spent   int
 	places  map[string]place
 }
 
@@ -40,7 +45,7 @@
 // finds their clients and tell takes what they say.
 //
 //	supervisor.Add(poll.New(names, dial, tell, scope))
-func New(engines func() []string, dial func(target string) (engine.Client, bool), tell func(ctx context.Context, message cell.Message), scope tally.Scope) *Poller {
+func New(engines func() []string, dial func(target string) (engine.Client, bool), tell func(ctx context.Context, target string, message cell.Message), scope tally.Scope) *Poller {
 	return &Poller{engines: engines, dial: dial, tell: tell, scope: scope}
 }
 
@@ -56,7 +61,7 @@
 	p.places = map[string]place{}
 	for {
 		p.round(ctx)
-		pause := time.Duration((0.75 + 0.5*rand.Float64()) * float64(interval))
+		pause := time.Duration((0.75 + 0.5*rand.Float64()) * float64(p.pause()))
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -65,6 +70,15 @@
 	}
 }
 
+// pause returns the time until the next round. It keeps what the engines' answers
+// take under a fixed number of bytes a second, however many engines there are.
+func (p *Poller) pause() time.Duration {
+	p.scope.Counter("poll_bytes").Inc(int64(p.spent))
+	paid := time.Duration(p.spent) * time.Second / bytesPerSecond
+	p.spent = 0
+	return max(interval, paid)
+}
+
 // round asks every engine once, all at the same time.
 func (p *Poller) round(ctx context.Context) {
 	names := p.engines()
@@ -113,10 +127,12 @@
 	if a.load == nil {
 		return at
 	}
-	p.tell(ctx, cell.Reported{Target: a.target, Load: *a.load})
+	p.spent += bytesPerAnswer
+	p.tell(ctx, a.target, cell.Reported{Target: a.target, Load: *a.load})
 	if a.events == nil {
 		return at
 	}
+	p.spent += bytesPerAnswer + len(a.events.Events)*bytesPerEvent
 	if len(a.events.Events) > maxEvents {
 		p.scope.Counter("poll_mutes").Inc(1)
 		return place{muted: time.Now().Add(muteTime)}
@@ -128,7 +144,7 @@
 	if len(a.events.Events) == 0 {
 		return next
 	}
-	p.tell(ctx, cell.Cached{Target: a.target, Batch: *a.events})
+	p.tell(ctx, a.target, cell.Cached{Target: a.target, Batch: *a.events})
 	next.seq = a.events.Events[len(a.events.Events)-1].Seq
 	return next
 }
--- a/internal/node/poll/poll_test.go
+++ b/internal/node/poll/poll_test.go
@@ -73,8 +73,8 @@
 }
 
 // count counts the batches of cache events.
-func count(batches *int) func(context.Context, cell.Message) {
-	return func(_ context.Context, m cell.Message) {
+func count(batches *int) func(context.Context, string, cell.Message) {
+	return func(_ context.Context, _ string, m cell.Message) {
 		if _, ok := m.(cell.Cached); ok {
 			*batches++
 		}
@@ -85,7 +85,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &fake{incarnation: "1"}
 		p := New(func() []string { return []string{"a"} }, func(string) (engine.Client, bool) { return f, true },
-			func(context.Context, cell.Message) {}, tally.NoopScope)
+			func(context.Context, string, cell.Message) {}, tally.NoopScope)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		assert.ErrorIs(t, p.Serve(ctx), context.DeadlineExceeded)
--- /dev/null
+++ b/internal/node/server/fleet_test.go
@@ -0,0 +1,254 @@
+package server_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadamill/cicadamill/internal/config/local"
+	"github.com/cicadamill/cicadamill/internal/node/server"
+	"github.com/cicadamill/cicadamill/internal/platform/hosts"
+	"github.com/cicadamill/cicadamill/internal/standin/embed"
+)
+
+// eventually bounds the wait for what spreads on its own.
+const eventually = time.Minute
+
+// fleet is a few nodes before one set of stand-ins.
+type fleet struct {
+	t     *testing.T
+	site  *embed.Site
+	nodes []*running
+}
+
+type running struct {
+	server.Addresses
+	stop  context.CancelFunc
+	ended chan error
+}
+
+func newFleet(t *testing.T, count int, change func(*local.Settings)) *fleet {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	site, _, err := embed.New(ctx)
+	require.NoError(t, err)
+	f := &fleet{t: t, site: site}
+	t.Cleanup(func() {
+		for _, n := range f.nodes {
+			n.stop()
+			assert.NoError(t, <-n.ended)
+		}
+		cancel()
+	})
+	for i := range count {
+		f.start(fmt.Sprint("node-", i), change)
+	}
+	return f
+}
+
+func (f *fleet) start(name string, change func(*local.Settings)) *running {
+	settings := local.Settings{
+		Name: name, DataCentre: "local", CallerAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", OperatorAddress: "127.0.0.1:0",
+		Bootstrap: f.site.Config, HostsAddress: f.site.HostsAddress,
+	}
+	for _, n := range f.nodes {
+		settings.Peers = append(settings.Peers, n.Peer)
+	}
+	if change != nil {
+		change(&settings)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	node := server.New(settings, hclog.NewNullLogger())
+	n := &running{stop: cancel, ended: make(chan error, 1)}
+	go func(ctx context.Context) { n.ended <- node.Serve(ctx) }(ctx)
+	n.Addresses = <-node.Ready()
+	f.nodes = append(f.nodes, n)
+	return n
+}
+
+// metric returns the sum of a metric over its labels.
+func (f *fleet) metric(n *running, name string) float64 {
+	_, page := get(f.t, n.Operator, "/metrics")
+	sum := 0.0
+	for line := range strings.Lines(page) {
+		fields := strings.Fields(line)
+		if len(fields) == 2 && strings.HasPrefix(fields[0], "cicadamill_"+name) {
+			value, err := strconv.ParseFloat(fields[1], 64)
+			require.NoError(f.t, err)
+			sum += value
+		}
+	}
+	return sum
+}
+
+func (f *fleet) wait(n *running, name string, least float64) {
+	f.t.Helper()
+	require.Eventually(f.t, func() bool { return f.metric(n, name) >= least }, eventually, 20*time.Millisecond, name)
+}
+
+// homeAndOther returns the node that looks after the cell and another one.
+func (f *fleet) homeAndOther() (*running, *running) {
+	for _, n := range f.nodes {
+		f.wait(n, "fleet_nodes_up", float64(len(f.nodes)))
+	}
+	for i, n := range f.nodes {
+		ask(f.t, n.Caller, embed.MembersKey, "hi", true)
+		other := f.nodes[(i+1)%len(f.nodes)]
+		f.wait(n, "fleet_steer_", 1)
+		if f.metric(n, "fleet_steer_local") > 0 {
+			return n, other
+		}
+	}
+	require.Fail(f.t, "no node decides for the cell")
+	return nil, nil
+}
+
+func TestHomeDecidesForAll(t *testing.T) {
+	f := newFleet(t, 3, nil)
+	home, other := f.homeAndOther()
+	response, body := ask(t, other.Caller, embed.MembersKey, nested(), true)
+	require.Equal(t, http.StatusOK, response.StatusCode, body)
+	assert.True(t, strings.HasSuffix(body, "data: [DONE]\n\n"))
+	again, _ := ask(t, home.Caller, embed.MembersKey, nested(), true)
+	assert.Equal(t, "8000", again.Header.Get("X-Cicadamill-Cached-Tokens"))
+	f.wait(home, "fleet_steer_taken", 1)
+	f.wait(other, "fleet_steer_forwarded", 1)
+	assert.Zero(t, f.metric(other, "fleet_steer_lost"))
+}
+
+// open begins a stream of many chunks and returns once the first one came.
+func open(t *testing.T, address string) func() string {
+	t.Helper()
+	body := `{"model":"assistant","stream":true,"max_tokens":32,"messages":[{"role":"user","content":"long"}]}`
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(body))
+	require.NoError(t, err)
+	request.Header.Set("Authorization", "Bearer "+embed.MembersKey)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	reader := bufio.NewReader(response.Body)
+	first, err := reader.ReadString('\n')
+	require.NoError(t, err)
+	return func() string {
+		defer func() { _ = response.Body.Close() }()
+		rest, err := io.ReadAll(reader)
+		require.NoError(t, err)
+		return first + string(rest)
+	}
+}
+
+// TestStopCutsNothing stops the home of the cell while it answers callers of its
+// own and of another node.
+func TestStopCutsNothing(t *testing.T) {
+	f := newFleet(t, 2, func(s *local.Settings) { s.Drain.BalancerLagMillis = 100 })
+	home, other := f.homeAndOther()
+	var streams []func() string
+	for range 4 {
+		streams = append(streams, open(t, home.Caller), open(t, other.Caller))
+	}
+	home.stop()
+	for _, read := range streams {
+		whole := read()
+		assert.Equal(t, 32, strings.Count(whole, "id: "))
+		assert.True(t, strings.HasSuffix(whole, "data: [DONE]\n\n"))
+	}
+	require.NoError(t, <-home.ended)
+	home.ended <- nil
+	assert.Zero(t, f.metric(other, "fleet_steer_lost"))
+	response, _ := ask(t, other.Caller, embed.MembersKey, "after", true)
+	assert.Equal(t, http.StatusOK, response.StatusCode)
+}
+
+// TestBalancerLag sees a node that stops go on serving, not ready but healthy.
+func TestBalancerLag(t *testing.T) {
+	f := newFleet(t, 1, func(s *local.Settings) { s.Drain.BalancerLagMillis = 3000 })
+	node := f.nodes[0]
+	node.stop()
+	require.Eventually(t, func() bool {
+		status, _ := get(t, node.Caller, "/readyz")
+		return status == http.StatusServiceUnavailable
+	}, eventually, 10*time.Millisecond)
+	status, _ := get(t, node.Caller, "/healthz")
+	assert.Equal(t, http.StatusOK, status)
+	response, body := ask(t, node.Caller, embed.MembersKey, "late", true)
+	assert.Equal(t, http.StatusOK, response.StatusCode)
+	assert.True(t, strings.HasSuffix(body, "data: [DONE]\n\n"))
+	assert.True(t, response.Close, "the connection must not be used again")
+}
+
+// TestStopLimitIsToldOf sees the limit of the settings cut and tell the caller.
+func TestStopLimitIsToldOf(t *testing.T) {
+	f := newFleet(t, 1, func(s *local.Settings) { s.Drain.LimitMillis = 1 })
+	body := `{"model":"assistant","stream":true,"max_tokens":1000,"messages":[{"role":"user","content":"long"}]}`
+	request, err := http.NewRequest(http.MethodPost, "http://"+f.nodes[0].Caller+"/v1/chat/completions", strings.NewReader(body))
+	require.NoError(t, err)
+	request.Header.Set("Authorization", "Bearer "+embed.MembersKey)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	f.nodes[0].stop()
+	rest, err := io.ReadAll(response.Body)
+	assert.Error(t, err)
+	assert.NotContains(t, string(rest), "[DONE]")
+}
+
+// TestHerdRestart starts nodes whose table, object store, host list and peers
+// all refuse connections. Each must answer its first request.
+func TestHerdRestart(t *testing.T) {
+	nobody := "127.0.0.1:1"
+	began := time.Now()
+	f := newFleet(t, 8, func(s *local.Settings) {
+		s.TableAddress, s.ObjectAddress, s.HostsAddress, s.Peers = nobody, nobody, nobody, []string{nobody}
+	})
+	for i, n := range f.nodes {
+		response, body := ask(t, n.Caller, embed.MembersKey, "first", true)
+		require.Equal(t, http.StatusOK, response.StatusCode, body)
+		t.Logf("node %d answered %v after the first start began", i, time.Since(began))
+	}
+}
+
+// TestLeavingTargetSpreads has an engine tell its node alone, or the list alone,
+// that it leaves. Every node must give it no more work.
+func TestLeavingTargetSpreads(t *testing.T) {
+	tests := map[string]func(f *fleet){
+		"engine's own report": func(f *fleet) {
+			for _, e := range f.site.Engines {
+				e.SetLeaving(true)
+			}
+		},
+		"host list": func(f *fleet) {
+			var all []hosts.Host
+			for name := range f.site.Engines {
+				all = append(all, hosts.Host{Name: name, Kind: "target", Leaving: true})
+			}
+			f.site.Hosts.Set(all...)
+			f.site.Hosts.Publish()
+		},
+	}
+	for name, leave := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 3, nil)
+			f.homeAndOther()
+			leave(f)
+			began := time.Now()
+			for _, n := range f.nodes {
+				f.wait(n, "fleet_targets_leaving", float64(len(f.site.Engines)))
+			}
+			t.Log("known to all nodes, metrics included, after", time.Since(began))
+			for _, n := range f.nodes {
+				response, body := ask(t, n.Caller, embed.MembersKey, "no", true)
+				assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+				assert.Contains(t, body, `"ran":"notRun"`)
+			}
+		})
+	}
+}
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -18,24 +18,22 @@
 	"github.com/cicadamill/cicadamill/internal/config/site"
 	"github.com/cicadamill/cicadamill/internal/entry/front"
 	"github.com/cicadamill/cicadamill/internal/entry/limit"
-	"github.com/cicadamill/cicadamill/internal/node/flow"
-	"github.com/cicadamill/cicadamill/internal/node/loop"
+	"github.com/cicadamill/cicadamill/internal/node/cells"
 	"github.com/cicadamill/cicadamill/internal/route/cell"
 	"github.com/cicadamill/cicadamill/internal/target/engine"
 	"github.com/cicadamill/cicadamill/internal/target/remote"
 )
 
-const (
-	idleTimeout  = 2 * time.Minute
-	drainTimeout = 30 * time.Second
-)
+const idleTimeout = 2 * time.Minute
 
 // Server is one node.
 type Server struct {
 	settings local.Settings
 	logger   hclog.Logger
 	applied  *live.Applied
-	loop     *loop.Loop
+	cells    *cells.Set
+	fleet    *fleet
+	drain    drain
 	clients  sync.Map
 	http     *http.Client
 	ready    chan Addresses
@@ -47,6 +45,8 @@
 type Addresses struct {
 	// Caller is the address for callers, as IP number and port.
 	Caller string
+	// Peer is the address for other nodes; empty without a listener.
+	Peer string
 	// Operator is the address for operators; empty without a listener.
 	Operator string
 }
@@ -65,8 +65,8 @@
 	}
 	s.watch = newWatch(logger)
 	s.streams = newStreams(s.watch)
-	s.loop = loop.New(s.fetch)
-	s.loop.WithImport(s.importer(s.loop))
+	s.cells = s.newCells()
+	s.fleet = newFleet(s)
 	return s
 }
 
@@ -84,7 +84,9 @@
 	}
 	s.logger.Info("configuration applied", "version", number)
 	s.watch.rank(config)
-	return s.loop.Send(ctx, engineList(config))
+	s.cells.Apply(ctx, config)
+	s.fleet.applied(number)
+	return nil
 }
 
 // Serve runs the node until the context ends.
@@ -92,33 +94,43 @@
 	if err := s.bootstrap(ctx); err != nil {
 		return err
 	}
+	if err := s.fleet.open(); err != nil {
+		return err
+	}
 	operators, err := s.openOperators()
 	if err != nil {
 		return err
 	}
 	effects := s.openEffects()
 	defer effects.close()
-	handler := s.watch.callers(effects.around(front.New(s.settings.Name, s.applied.Config, s.watch.runner(flow.New(s.loop, s.dial, s.streams.flow...)), s.streams.front)))
+	handler := s.watch.callers(effects.around(front.New(s.settings.Name, s.applied.Config, s.watch.runner(s.fleet.steer), s.streams.front)))
 	listener, err := s.listen("callers", s.settings.CallerAddress, s.settings.CallerTLS)
 	if err != nil {
 		return err
 	}
 	supervisor := suture.New(s.settings.Name, suture.Spec{EventHook: s.supervised})
-	supervisor.Add(s.loop)
+	supervisor.Add(s.cells)
+	s.fleet.add(supervisor)
 	supervisor.Add(s.streams.guard)
 	supervisor.Add(s.poller())
 	if operators != nil {
 		supervisor.Add(operators)
 	}
-	stopped := supervisor.ServeBackground(ctx)
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	stopped := supervisor.ServeBackground(running)
 	defer func() { _ = s.watch.meter.Close() }()
 	s.watch.health.SetReady(true)
-	s.ready <- Addresses{Caller: listener.Addr().String(), Operator: operators.address()}
-	return s.serveHTTP(ctx, listener, handler, stopped)
+	s.ready <- Addresses{Caller: listener.Addr().String(), Peer: s.fleet.address(), Operator: operators.address()}
+	err = s.serveHTTP(ctx, listener, handler)
+	stop()
+	<-stopped
+	return err
 }
 
-func (s *Server) serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler, stopped <-chan error) error {
-	server := limit.Server(handler, s.settings.Limits)
+// serveHTTP answers callers until the context ends, and then until every request
+// under way has its answer.
+func (s *Server) serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	server := limit.Server(s.drain.around(handler), s.settings.Limits)
 	ended := make(chan error, 1)
 	go func(context.Context) { ended <- server.Serve(listener) }(ctx)
 	select {
@@ -126,12 +138,9 @@
 		return errors.Annotate(err, "serving callers")
 	case <-ctx.Done():
 	}
-	drain, cancel := context.WithTimeout(context.Background(), drainTimeout)
-	defer cancel()
-	err := server.Shutdown(drain)
+	s.stop(server)
 	<-ended
-	<-stopped
-	return errors.Annotate(err, "draining")
+	return nil
 }
 
 func (s *Server) supervised(event suture.Event) {
@@ -149,19 +158,6 @@
 	return nil, false
 }
 
-func (s *Server) fetch(ctx context.Context, target string) {
-	client, ok := s.dial(target)
-	if !ok {
-		return
-	}
-	go func(ctx context.Context) {
-		snapshot, err := client.Snapshot(ctx)
-		if err == nil {
-			_ = s.loop.Send(ctx, cell.Snapshot{Target: target, Snapshot: snapshot})
-		}
-	}(ctx)
-}
-
 // targets lists the engines of a configuration as the cell knows them.
 func targets(config site.Config) []cell.Target {
 	applications := map[string][]string{}
--- a/internal/node/server/stream.go
+++ b/internal/node/server/stream.go
@@ -30,20 +30,12 @@
 
 // poller reads the engines' reports for the cell and the guard.
 func (s *Server) poller() *poll.Poller {
-	tell := func(ctx context.Context, message cell.Message) {
+	tell := func(ctx context.Context, target string, message cell.Message) {
 		if m, ok := message.(cell.Reported); ok {
 			s.streams.guard.Tell(crash.Seen{Target: m.Target, Incarnation: m.Load.Incarnation})
+			s.fleet.saw(m.Target, m.Load)
 		}
-		_ = s.loop.Send(ctx, message)
+		s.cells.Tell(ctx, target, message)
 	}
-	return poll.New(s.engineNames, s.dial, tell, s.watch.scope().SubScope("stream"))
-}
-
-func (s *Server) engineNames() []string {
-	config := s.applied.Config()
-	names := make([]string, 0, len(config.Engines))
-	for _, e := range config.Engines {
-		names = append(names, e.Name)
-	}
-	return names
+	return poll.New(s.cells.Engines, s.dial, tell, s.watch.scope().SubScope("stream"))
 }
--- a/internal/node/steer/steer_test.go
+++ b/internal/node/steer/steer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -197,31 +198,30 @@
 	return err != nil && notRun
 }
 
+// draw makes up what a node does.
+func draw(t *rapid.T, node string) script {
+	s := script{chunks: rapid.IntRange(0, 2).Draw(t, node+" chunks"), repeat: rapid.Bool().Draw(t, node+" repeats")}
+	s.weights = rapid.SampledFrom([]string{"1", "1", "2"}).Draw(t, node+" weights")
+	s.err = rapid.SampledFrom([]error{nil, unreached(), lost(), refused("tooLate", effect.NotRun{}), refused("noEngine", effect.NotRun{}), refused("unknownCell", effect.NotRun{})}).Draw(t, node)
+	if isNotRun(s.err) {
+		s.chunks = 0
+	}
+	return s
+}
+
 // TestWholeStreamOrHonestError has every node fail anywhere. The caller must get
 // each chunk once and in order, no end without all of them, no "not run" after
 // a leg that may have run; and the number of legs must stay bounded.
 func TestWholeStreamOrHonestError(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		draw := func(node string) script {
-			s := script{chunks: rapid.IntRange(0, 2).Draw(t, node+" chunks"), repeat: rapid.Bool().Draw(t, node+" repeats")}
-			s.weights = rapid.SampledFrom([]string{"1", "1", "2"}).Draw(t, node+" weights")
-			s.err = rapid.SampledFrom([]error{nil, unreached(), lost(), refused("tooLate", effect.NotRun{}), refused("noEngine", effect.NotRun{}), refused("unknownCell", effect.NotRun{})}).Draw(t, node)
-			if isNotRun(s.err) {
-				s.chunks = 0
-			}
-			return s
-		}
-		w := &world{cells: 2, homes: []steer.Home{{Name: "a", Address: "a"}, {Name: "b", Address: "b"}}, scripts: map[string]script{"a": draw("a"), "b": draw("b"), "here": draw("here")}}
+		w := &world{cells: 2, homes: []steer.Home{{Name: "a", Address: "a"}, {Name: "b", Address: "b"}}, scripts: map[string]script{"a": draw(t, "a"), "b": draw(t, "b"), "here": draw(t, "here")}}
 		chunks, err := run(w)
 		if len(w.visits) > 6 {
 			t.Fatalf("%d legs", len(w.visits))
 		}
-		for i, id := range w.ids {
-			for _, other := range w.ids[:i] {
-				if id == other {
-					t.Fatal("two legs share an ID")
-				}
-			}
+		slices.Sort(w.ids)
+		if len(slices.Compact(w.ids)) != len(w.visits) {
+			t.Fatal("two legs share an ID")
 		}
 		for i, chunk := range chunks {
 			if chunk != "done" && chunk != fmt.Sprint(i) {
--- a/internal/peer/hop/hop_test.go
+++ b/internal/peer/hop/hop_test.go
@@ -22,8 +22,6 @@
 	"github.com/cicadamill/cicadamill/internal/target/engine"
 )
 
-type run func(ctx context.Context, cell string, j job.Job, sink func(engine.Event) error) error
-
 // answer is a whole answer of three chunks.
 func answer(_ context.Context, _ string, _ job.Job, sink func(engine.Event) error) error {
 	events := []engine.Event{engine.Accepted{Engine: "e", Incarnation: "1", WeightVersion: "2", CachedTokens: 3, PromptTokens: 4}}
