--- a/internal/fleet/homes/homes.go
+++ b/internal/fleet/homes/homes.go
@@ -4,7 +4,6 @@
 package homes
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -23,10 +22,10 @@
 	Up bool
 }
 
-// State remembers since when each node has been up.
+// State remembers which nodes are up and when others went.
 type State struct {
-	nodes map[string]candidate
-	begun bool
+	nodes []candidate
+	gone  map[string]time.Time
 }
 
 type candidate struct {
@@ -43,58 +42,82 @@
 func New() State { return State{} }
 
 // Update takes the whole list of nodes. A node that went away is no home from
-// now on. One that comes or comes back is a home only after a delay, so that a
-// flapping node moves no cells; the first list counts at once.
+// now on, and for some time after that, so that a flapping node moves no cells.
+// One that was not there before counts at once.
 func (s State) Update(now time.Time, nodes []Node) State {
-	next := make(map[string]candidate, len(nodes))
+	next := State{gone: map[string]time.Time{}, nodes: make([]candidate, 0, len(nodes))}
 	for _, n := range nodes {
-		if !n.Up {
-			continue
+		if n.Up {
+			next.nodes = append(next.nodes, candidate{Node: n, hash: xxh3.HashString(n.Name)})
 		}
-		c, known := s.nodes[n.Name]
-		switch {
-		case known:
-			c.Node = n
-		case s.begun:
-			c = candidate{Node: n, from: now.Add(returnDelay), hash: xxh3.HashString(n.Name)}
-		default:
-			c = candidate{Node: n, from: now, hash: xxh3.HashString(n.Name)}
+	}
+	for name, went := range s.gone {
+		if now.Sub(went) < returnDelay {
+			next.gone[name] = went
 		}
-		next[n.Name] = c
 	}
-	return State{nodes: next, begun: true}
+	still := make(map[string]bool, len(next.nodes))
+	for _, c := range next.nodes {
+		still[c.Name] = true
+	}
+	for _, c := range s.nodes {
+		if !still[c.Name] {
+			next.gone[c.Name] = now
+		}
+	}
+	for i, c := range next.nodes {
+		if went, ok := next.gone[c.Name]; ok {
+			next.nodes[i].from = went.Add(returnDelay)
+		}
+	}
+	return next
 }
 
 // Rank returns the names of the first count homes of a cell, best first. Nodes
 // in the cell's data centre come before all others.
 func (s State) Rank(now time.Time, cell, dataCentre string, count int) []string {
-	type scored struct {
-		name  string
-		near  int
-		score uint64
-	}
 	key := xxh3.HashString(cell)
-	all := make([]scored, 0, len(s.nodes))
-	for _, c := range s.nodes {
+	best := make([]scored, 0, count+1)
+	for i := range s.nodes {
+		c := &s.nodes[i]
 		if now.Before(c.from) {
 			continue
 		}
-		near := 0
-		if c.DataCentre == dataCentre {
-			near = 1
+		next := scored{name: c.Name, near: c.DataCentre == dataCentre, score: mix(key ^ c.hash)}
+		if len(best) == count && !next.beats(best[count-1]) {
+			continue
+		}
+		at := 0
+		for at < len(best) && !next.beats(best[at]) {
+			at++
 		}
-		all = append(all, scored{name: c.Name, near: near, score: mix(key ^ c.hash)})
+		best = slices.Insert(best, at, next)
+		best = best[:min(count, len(best))]
 	}
-	slices.SortFunc(all, func(a, b scored) int {
-		return cmp.Or(b.near-a.near, cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
-	})
 	names := make([]string, 0, count)
-	for _, c := range all[:min(count, len(all))] {
+	for _, c := range best {
 		names = append(names, c.name)
 	}
 	return names
 }
 
+type scored struct {
+	name  string
+	near  bool
+	score uint64
+}
+
+func (a scored) beats(b scored) bool {
+	switch {
+	case a.near != b.near:
+		return a.near
+	case a.score != b.score:
+		return a.score > b.score
+	default:
+		return a.name < b.name
+	}
+}
+
 // mix is the finaliser of a 64-bit hash.
 func mix(x uint64) uint64 {
 	x ^= x >> 33
