Accept a configuration by one conditional write, certain before it is told

A submission names the version it started from. Head and record are written in one transaction on the condition of the head row's version; the text goes to the object store before, verbatim. After a lost reply the head is read back; a write that did not take effect is repeated on the same condition, so that it takes effect at most once. A later version does not hide the answer: the record of the version that this submission would have got holds the winner's nonce. A table that was restored to an older state can't hand out a version that is in force on the node.

--- /dev/null
+++ b/internal/config/record/record.go
@@ -0,0 +1,209 @@
+// Package record reads and writes accepted configurations in the platform:
+// head and records in the table, the operators' texts in the object store.
+package record
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	jujuerrors "github.com/juju/errors"
+
+	"github.com/cicadamill/cicadamill/internal/config/submit"
+	"github.com/cicadamill/cicadamill/internal/platform/object"
+	"github.com/cicadamill/cicadamill/internal/platform/table"
+)
+
+const (
+	headKey      = "config/head"
+	entryPrefix  = "config/history/"
+	textPrefix   = "config/text/"
+	maxTextBytes = 32 << 20
+	tickInterval = 100 * time.Millisecond
+)
+
+// Store is where accepted configurations are kept.
+type Store struct {
+	table  table.Client
+	object object.Client
+}
+
+// New returns a store on the platform's services.
+//
+//	store := record.New(tableClient, objectClient)
+//	version, err := store.Submit(ctx, entry, text, applied.Version())
+func New(tables table.Client, objects object.Client) *Store {
+	return &Store{table: tables, object: objects}
+}
+
+// Head reads which version is accepted. The first result is the version of the
+// row; zero means that nothing was ever accepted.
+func (s *Store) Head(ctx context.Context) (uint64, submit.Head, error) {
+	var head submit.Head
+	row, err := s.read(ctx, headKey, &head)
+	return row, head, err
+}
+
+// Entry reads the record of a version; its nonce is empty when there is none.
+func (s *Store) Entry(ctx context.Context, version uint64) (submit.Entry, error) {
+	var entry submit.Entry
+	_, err := s.read(ctx, entryKey(version), &entry)
+	return entry, err
+}
+
+// History lists up to limit records, the newest first, beginning below before.
+func (s *Store) History(ctx context.Context, before uint64, limit int) ([]submit.Entry, error) {
+	after := uint64(0)
+	if before > uint64(limit)+1 {
+		after = before - uint64(limit) - 1
+	}
+	rows, err := s.table.List(ctx, entryPrefix, entryKey(after), limit)
+	if err != nil {
+		return nil, jujuerrors.Trace(err)
+	}
+	entries := make([]submit.Entry, len(rows))
+	for i, row := range rows {
+		if err := json.Unmarshal(row.Value, &entries[len(rows)-1-i]); err != nil {
+			return nil, jujuerrors.Annotatef(err, "reading %s", row.Key)
+		}
+	}
+	return entries, nil
+}
+
+// Text reads the operator's text of a version, comments and all.
+func (s *Store) Text(ctx context.Context, entry submit.Entry) ([]byte, error) {
+	packed, err := s.object.Get(ctx, entry.Text)
+	if err != nil {
+		return nil, jujuerrors.Trace(err)
+	}
+	reader, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, jujuerrors.Annotatef(err, "unpacking %s", entry.Text)
+	}
+	text, err := io.ReadAll(io.LimitReader(reader, maxTextBytes))
+	return text, jujuerrors.Annotatef(err, "unpacking %s", entry.Text)
+}
+
+// TextKey returns where a submission's text goes. Each has its own key, so
+// that racing submissions never overwrite each other.
+func TextKey(base uint64, nonce string) string {
+	return fmt.Sprintf("%s%020d-%s", textPrefix, base+1, nonce)
+}
+
+// Submit runs a submission to its end, within the context's deadline. The
+// errors are those of package submit.
+func (s *Store) Submit(ctx context.Context, entry submit.Entry, text []byte, known uint64) (uint64, error) {
+	until, ok := ctx.Deadline()
+	if !ok {
+		return 0, jujuerrors.New("a submission needs a deadline")
+	}
+	state, commands := submit.New(entry, known, until)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		var message submit.Message = submit.Tick{}
+		if len(commands) > 0 {
+			if finish, ok := commands[0].(submit.Finish); ok {
+				return finish.Version, s.settle(ctx, entry, finish)
+			}
+			message = s.run(ctx, commands[0], text)
+		} else {
+			select {
+			case <-ticker.C:
+			case <-ctx.Done():
+				message = submit.Lost{Reason: "the time is up"}
+			}
+		}
+		state, commands = state.Update(time.Now(), message)
+	}
+}
+
+// settle removes the text of a submission that surely was not accepted.
+func (s *Store) settle(ctx context.Context, entry submit.Entry, finish submit.Finish) error {
+	var conflict *submit.ConflictError
+	if errors.As(finish.Err, &conflict) {
+		_ = s.object.Delete(ctx, entry.Text)
+	}
+	return finish.Err
+}
+
+func (s *Store) run(ctx context.Context, command submit.Command, text []byte) submit.Message {
+	switch c := command.(type) {
+	case submit.ReadHead:
+		row, head, err := s.Head(ctx)
+		return reply(submit.HeadRead{Row: row, Head: head}, err)
+	case submit.ReadEntry:
+		entry, err := s.Entry(ctx, c.Version)
+		return reply(submit.EntryRead{Entry: entry, Current: c.Current}, err)
+	case submit.StoreText:
+		return reply(submit.TextStored{}, s.storeText(ctx, c.Key, text))
+	case submit.Commit:
+		return s.commit(ctx, c)
+	default:
+		return submit.Lost{Reason: "unknown command"}
+	}
+}
+
+func reply(message submit.Message, err error) submit.Message {
+	if err != nil {
+		return submit.Lost{Reason: err.Error()}
+	}
+	return message
+}
+
+func (s *Store) storeText(ctx context.Context, key string, text []byte) error {
+	var packed bytes.Buffer
+	writer := gzip.NewWriter(&packed)
+	if _, err := writer.Write(text); err != nil {
+		return jujuerrors.Trace(err)
+	}
+	if err := writer.Close(); err != nil {
+		return jujuerrors.Trace(err)
+	}
+	return jujuerrors.Trace(s.object.Put(ctx, key, packed.Bytes()))
+}
+
+func (s *Store) commit(ctx context.Context, c submit.Commit) submit.Message {
+	head, err := json.Marshal(c.Head)
+	if err != nil {
+		return submit.Lost{Reason: err.Error()}
+	}
+	entry, err := json.Marshal(c.Entry)
+	if err != nil {
+		return submit.Lost{Reason: err.Error()}
+	}
+	puts := []table.Put{
+		{Key: headKey, Value: head, IfVersion: c.IfRow},
+		{Key: entryKey(c.Entry.Version), Value: entry, Always: true},
+	}
+	if c.Expire > 0 {
+		puts = append(puts, table.Put{Key: entryKey(c.Expire), Always: true})
+	}
+	err = s.table.Commit(ctx, table.Txn{Puts: puts})
+	var conflict *table.ConflictError
+	switch {
+	case err == nil:
+		return submit.Committed{}
+	case errors.As(err, &conflict):
+		return submit.Refused{}
+	default:
+		var outage *table.OutageError
+		surely := errors.As(err, &outage) && !outage.MayHaveApplied
+		return submit.Lost{Reason: err.Error(), MayHaveApplied: !surely}
+	}
+}
+
+func (s *Store) read(ctx context.Context, key string, into any) (uint64, error) {
+	row, err := s.table.Get(ctx, key)
+	if err != nil || row.Version == 0 {
+		return 0, jujuerrors.Trace(err)
+	}
+	return row.Version, jujuerrors.Annotatef(json.Unmarshal(row.Value, into), "reading %s", key)
+}
+
+func entryKey(version uint64) string { return fmt.Sprintf("%s%020d", entryPrefix, version) }
--- /dev/null
+++ b/internal/config/submit/explore_test.go
@@ -0,0 +1,230 @@
+package submit_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadamill/cicadamill/internal/config/submit"
+)
+
+const maxFaults = 3
+
+var begin = time.Unix(1000, 0)
+
+// world is one state of the exploration: operators, the table and commits that
+// are still on their way although their sender gave up on the reply.
+type world struct {
+	operators [3]operator
+	row       uint64
+	head      submit.Head
+	entries   [4]string
+	late      []submit.Commit
+	faults    int
+}
+
+type operator struct {
+	state   submit.State
+	command submit.Command
+	finish  *submit.Finish
+	nonce   string
+	version uint64
+}
+
+func start() world {
+	w := world{row: 7, head: submit.Head{Version: 1, Nonce: "first"}}
+	for i, entry := range []submit.Entry{{Base: 1, Nonce: "a"}, {Base: 1, Nonce: "b"}, {Base: 2, Nonce: "c"}} {
+		state, commands := submit.New(entry, 1, begin.Add(time.Hour))
+		w.operators[i] = operator{state: state, command: commands[0], nonce: entry.Nonce, version: entry.Base + 1}
+	}
+	return w
+}
+
+// apply takes a commit as the table does.
+func (w *world) apply(c submit.Commit) bool {
+	if c.IfRow != w.row {
+		return false
+	}
+	w.row += 3
+	w.head = c.Head
+	w.entries[c.Entry.Version] = c.Entry.Nonce
+	return true
+}
+
+// next returns every state that one step leads to.
+func (w world) next() []world {
+	var all []world
+	for i, o := range w.operators {
+		if o.finish == nil {
+			all = append(all, w.steps(i)...)
+		}
+	}
+	for i, commit := range w.late {
+		n := w
+		n.late = append(append([]submit.Commit{}, w.late[:i]...), w.late[i+1:]...)
+		n.apply(commit)
+		all = append(all, n)
+	}
+	return all
+}
+
+func (w world) steps(i int) []world {
+	command := w.operators[i].command
+	good := w
+	all := []world{good.feed(i, good.reply(command))}
+	if w.faults == maxFaults {
+		return all
+	}
+	w.faults++
+	before := w
+	all = append(all, before.feed(i, submit.Lost{Reason: "request lost"}))
+	commit, ok := command.(submit.Commit)
+	if !ok {
+		return all
+	}
+	after := w
+	after.apply(commit)
+	all = append(all, after.feed(i, submit.Lost{Reason: "reply lost", MayHaveApplied: true}))
+	delayed := w
+	delayed.late = append(append([]submit.Commit{}, w.late...), commit)
+	return append(all, delayed.feed(i, submit.Lost{Reason: "delayed", MayHaveApplied: true}))
+}
+
+func (w *world) reply(command submit.Command) submit.Message {
+	switch c := command.(type) {
+	case submit.ReadHead:
+		return submit.HeadRead{Row: w.row, Head: w.head}
+	case submit.ReadEntry:
+		return submit.EntryRead{Entry: submit.Entry{Nonce: w.entries[c.Version]}, Current: c.Current}
+	case submit.StoreText:
+		return submit.TextStored{}
+	case submit.Commit:
+		if w.apply(c) {
+			return submit.Committed{}
+		}
+		return submit.Refused{}
+	default:
+		return nil
+	}
+}
+
+func (w world) feed(i int, message submit.Message) world {
+	o := &w.operators[i]
+	state, commands := o.state.Update(begin, message)
+	if len(commands) == 0 {
+		state, commands = state.Update(begin.Add(time.Minute), submit.Tick{})
+	}
+	o.state, o.command = state, commands[0]
+	if finish, ok := commands[0].(submit.Finish); ok {
+		o.finish = &finish
+	}
+	return w
+}
+
+// check is the invariant of a world in which everybody has an answer: each
+// was told the truth, and one submission at most owns a version.
+func (w world) check() error {
+	told := [4]int{}
+	for _, o := range w.operators {
+		owns := w.entries[o.version] == o.nonce
+		var conflict *submit.ConflictError
+		switch {
+		case o.finish.Err == nil && !owns:
+			return fmt.Errorf("%s was told accepted, the table has %q", o.nonce, w.entries[o.version])
+		case errors.As(o.finish.Err, &conflict) && owns:
+			return fmt.Errorf("%s was told of a conflict and was accepted", o.nonce)
+		case o.finish.Err == nil:
+			told[o.version]++
+		}
+	}
+	for version, nonce := range w.entries {
+		if (nonce != "") != (told[version] == 1) {
+			return fmt.Errorf("version %d belongs to %q, %d were told so", version, nonce, told[version])
+		}
+	}
+	return nil
+}
+
+func TestEveryOrderOfThreeOperators(t *testing.T) {
+	seen := map[string]bool{}
+	ends := 0
+	open := []world{start()}
+	for len(open) > 0 {
+		w := open[len(open)-1]
+		open = open[:len(open)-1]
+		key := fmt.Sprintf("%+v", w.key())
+		if seen[key] {
+			continue
+		}
+		seen[key] = true
+		next := w.next()
+		if w.ended() {
+			require.NoError(t, w.check())
+			ends++
+		}
+		open = append(open, next...)
+	}
+	t.Logf("%d states, %d ends", len(seen), ends)
+	assert.Greater(t, ends, 10)
+}
+
+// ended tells whether everybody has an answer and nothing is on its way.
+func (w world) ended() bool {
+	for _, o := range w.operators {
+		if o.finish == nil {
+			return false
+		}
+	}
+	return len(w.late) == 0
+}
+
+// key tells worlds apart by their content.
+func (w world) key() string {
+	key := fmt.Sprint(w.row, w.head, w.entries, w.late, w.faults)
+	for _, o := range w.operators {
+		finish := "running"
+		if o.finish != nil {
+			finish = fmt.Sprintf("%d %v", o.finish.Version, o.finish.Err)
+		}
+		key += fmt.Sprintf("|%+v %T %+v %s", o.state, o.command, o.command, finish)
+	}
+	return key
+}
+
+func TestRestoredTable(t *testing.T) {
+	head := submit.HeadRead{Row: 9, Head: submit.Head{Version: 40, Nonce: "old"}}
+	state, _ := submit.New(submit.Entry{Base: 45, Nonce: "a"}, 45, begin.Add(time.Hour))
+	state, _ = state.Update(begin, head)
+	_, commands := state.Update(begin, submit.TextStored{})
+	assert.EqualValues(t, 46, commands[0].(submit.Commit).Head.Version, "above everything that was in force")
+
+	state, _ = submit.New(submit.Entry{Base: 40, Nonce: "a"}, 45, begin.Add(time.Hour))
+	state, commands = state.Update(begin, head)
+	assert.Equal(t, submit.ReadEntry{Version: 41, Current: 45}, commands[0])
+	_, commands = state.Update(begin, submit.EntryRead{Current: 45})
+	var conflict *submit.ConflictError
+	require.ErrorAs(t, commands[0].(submit.Finish).Err, &conflict)
+	assert.EqualValues(t, 45, conflict.Current)
+}
+
+func TestTableDownUntilTheEnd(t *testing.T) {
+	for name, test := range map[string]struct{ lost, unsure bool }{"before the commit": {false, false}, "after the commit": {true, true}} {
+		t.Run(name, func(t *testing.T) {
+			state, _ := submit.New(submit.Entry{Base: 1, Nonce: "a"}, 1, begin.Add(time.Second))
+			if test.lost {
+				state, _ = state.Update(begin, submit.HeadRead{Row: 7, Head: submit.Head{Version: 1}})
+				state, _ = state.Update(begin, submit.TextStored{})
+				state, _ = state.Update(begin, submit.Lost{MayHaveApplied: true})
+				state, _ = state.Update(begin.Add(time.Second), submit.Tick{})
+			}
+			_, commands := state.Update(begin.Add(time.Second), submit.Lost{Reason: "down"})
+			var outage *submit.OutageError
+			require.ErrorAs(t, commands[0].(submit.Finish).Err, &outage)
+			assert.Equal(t, test.unsure, outage.MayHaveApplied)
+		})
+	}
+}
