Spread configurations between nodes, with the table's poll as the floor

A node now learns of a version by a hint from whoever has just applied it, by the versions that nodes exchange, or by a slow poll of one row, and fetches the change from that peer; the digest tells whether the result is right. The version on a node only rises. A table that was restored to an older state, or holds other content under the version in force, raises a flag for operators; what is in force stays.

Weighed: every node polling the table (480 nodes at one read a second take a quarter of its reads); whole texts between peers (2.0 MB as JSON); a tree of nodes (must be mended whenever one restarts).

--- /dev/null
+++ b/internal/node/follow/follow.go
@@ -0,0 +1,158 @@
+// Package follow runs the slice that keeps a node's configuration up to date:
+// it reads the table, asks peers and answers them.
+package follow
+
+import (
+	"context"
+	stdsync "sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/cicadamill/cicadamill/internal/config/delta"
+	"github.com/cicadamill/cicadamill/internal/config/record"
+	"github.com/cicadamill/cicadamill/internal/config/share"
+	"github.com/cicadamill/cicadamill/internal/config/site"
+	"github.com/cicadamill/cicadamill/internal/config/sync"
+)
+
+const (
+	tickInterval = 100 * time.Millisecond
+	fetchTimeout = 2 * time.Second
+	tellTimeout  = time.Second
+	inboxLength  = 256
+	maxChanges   = 64
+)
+
+// Peers asks other nodes. [share.Client] does it over HTTP.
+type Peers interface {
+	Fetch(ctx context.Context, peer string, have uint64, sum string) (share.Answer, bool, error)
+	Tell(ctx context.Context, peer string, hint share.Hint) error
+}
+
+// Options are what a follower works with.
+type Options struct {
+	// Self is where this node's peers' listener is.
+	Self string
+	// Seed makes this node's random choices.
+	Seed uint64
+	// Store is the platform.
+	Store *record.Store
+	// Peers asks other nodes.
+	Peers Peers
+	// Apply puts a configuration in force.
+	Apply func(ctx context.Context, version uint64, config site.Config) error
+	// Scope takes counters.
+	Scope tally.Scope
+	// Logger takes lines on changes of state.
+	Logger hclog.Logger
+}
+
+// Follower keeps a node's configuration up to date. It is a suture service.
+type Follower struct {
+	options Options
+	inbox   chan sync.Message
+
+	mu      stdsync.Mutex
+	state   sync.State
+	last    uint64
+	sum     string
+	config  site.Config
+	changes []delta.Change
+	flag    sync.Flag
+}
+
+// New returns a follower that has nothing in force yet.
+//
+//	follower := follow.New(options)
+//	supervisor.Add(follower)
+func New(options Options) *Follower {
+	return &Follower{options: options, inbox: make(chan sync.Message, inboxLength), state: sync.New(options.Seed)}
+}
+
+// Serve runs until the context ends. After a panic the supervisor calls it
+// again; what was in force stays so.
+func (f *Follower) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		var message sync.Message = sync.Tick{}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case message = <-f.inbox:
+		case <-ticker.C:
+		}
+		for _, command := range f.update(message) {
+			f.run(ctx, command)
+		}
+	}
+}
+
+// Hear tells that a peer has a version in force.
+func (f *Follower) Hear(peer string, version uint64) {
+	f.send(sync.Heard{Peer: peer, Version: version})
+}
+
+// SetPeers replaces the list of other nodes; nodes is the size of the fleet.
+func (f *Follower) SetPeers(addresses []string, nodes int) {
+	f.send(sync.Peers{Addresses: addresses, Nodes: nodes})
+}
+
+// Accepted tells of a configuration that was accepted through this node.
+func (f *Follower) Accepted(version uint64, config site.Config) {
+	config = delta.Sort(config)
+	f.send(sync.Offered{Version: version, Sum: delta.Sum(config), Config: config})
+}
+
+// Flag returns what only an operator can mend; nil means nothing.
+func (f *Follower) Flag() sync.Flag {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.flag
+}
+
+// Version returns the version in force; zero means the bootstrap configuration.
+func (f *Follower) Version() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Version()
+}
+
+// Answer implements [share.Node].
+func (f *Follower) Answer(have uint64, sum string) (share.Answer, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	version := f.last
+	if version <= have {
+		return share.Answer{}, false
+	}
+	answer := share.Answer{Version: version, Sum: f.sum}
+	for i, change := range f.changes {
+		if change.Base == have && sum != "" {
+			answer.Changes = f.changes[i:]
+			return answer, true
+		}
+	}
+	config := f.config
+	answer.Config = &config
+	return answer, true
+}
+
+// send never blocks: what is dropped here comes again by gossip or the poll.
+func (f *Follower) send(message sync.Message) {
+	select {
+	case f.inbox <- message:
+	default:
+		f.options.Scope.Counter("config_messages_dropped").Inc(1)
+	}
+}
+
+func (f *Follower) update(message sync.Message) []sync.Command {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var commands []sync.Command
+	f.state, commands = f.state.Update(time.Now(), message)
+	return commands
+}
--- /dev/null
+++ b/internal/node/follow/run.go
@@ -0,0 +1,162 @@
+package follow
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"github.com/cicadamill/cicadamill/internal/config/delta"
+	"github.com/cicadamill/cicadamill/internal/config/share"
+	"github.com/cicadamill/cicadamill/internal/config/site"
+	"github.com/cicadamill/cicadamill/internal/config/sync"
+)
+
+// run carries out a command. What waits on the network goes on in the
+// background and comes back as a message.
+func (f *Follower) run(ctx context.Context, command sync.Command) {
+	switch c := command.(type) {
+	case sync.ReadHead:
+		go f.readHead(ctx)
+	case sync.FetchPeer:
+		go f.fetch(ctx, c.Peer, func(ctx context.Context) (sync.Offered, error) { return f.fromPeer(ctx, c) })
+	case sync.FetchTable:
+		go f.fetch(ctx, "", func(ctx context.Context) (sync.Offered, error) { return f.fromTable(ctx, c.Version) })
+	case sync.Apply:
+		f.apply(ctx, c)
+	case sync.Tell:
+		for _, peer := range c.Peers {
+			go f.tell(ctx, peer, c.Version)
+		}
+	case sync.Warn:
+		f.warn(c.Flag)
+	}
+}
+
+func (f *Follower) readHead(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	f.options.Scope.Counter("config_head_reads").Inc(1)
+	_, head, err := f.options.Store.Head(ctx)
+	if err != nil {
+		f.options.Scope.Counter("config_head_read_errors").Inc(1)
+		return
+	}
+	f.deliver(ctx, sync.HeadRead{Version: head.Version, Sum: head.Sum})
+}
+
+// fetch runs one fetch and always tells the slice how it ended.
+func (f *Follower) fetch(ctx context.Context, peer string, get func(context.Context) (sync.Offered, error)) {
+	limited, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	offered, err := get(limited)
+	if err != nil {
+		f.options.Scope.Counter("config_fetch_errors").Inc(1)
+		f.options.Logger.Debug("configuration not fetched", "peer", peer, "error", err)
+		f.deliver(ctx, sync.FetchFailed{Peer: peer})
+		return
+	}
+	f.deliver(ctx, offered)
+}
+
+// fromPeer asks for changes, and for the whole content when they do not fit.
+func (f *Follower) fromPeer(ctx context.Context, c sync.FetchPeer) (sync.Offered, error) {
+	f.options.Scope.Counter("config_peer_fetches").Inc(1)
+	for _, have := range []sync.FetchPeer{c, {Peer: c.Peer, Have: c.Have}} {
+		answer, ok, err := f.options.Peers.Fetch(ctx, c.Peer, have.Have, have.Sum)
+		if err != nil {
+			return sync.Offered{}, err
+		}
+		if !ok {
+			return sync.Offered{}, errors.New("the peer has nothing newer")
+		}
+		config, err := answer.Build(f.current())
+		if err == nil {
+			return sync.Offered{Version: answer.Version, Sum: answer.Sum, Config: config, From: c.Peer, Fetched: true}, nil
+		}
+		f.options.Scope.Counter("config_sum_errors").Inc(1)
+	}
+	return sync.Offered{}, errors.New("the peer's configuration does not match its sum")
+}
+
+func (f *Follower) fromTable(ctx context.Context, version uint64) (sync.Offered, error) {
+	f.options.Scope.Counter("config_table_fetches").Inc(1)
+	entry, err := f.options.Store.Entry(ctx, version)
+	if err != nil {
+		return sync.Offered{}, err
+	}
+	if entry.Nonce == "" {
+		return sync.Offered{}, errors.NotFoundf("record of version %d", version)
+	}
+	text, err := f.options.Store.Text(ctx, entry)
+	if err != nil {
+		return sync.Offered{}, err
+	}
+	config, err := site.Parse(text)
+	if err != nil {
+		return sync.Offered{}, errors.Trace(err)
+	}
+	config = delta.Sort(config)
+	return sync.Offered{Version: version, Sum: delta.Sum(config), Config: config, Fetched: true}, nil
+}
+
+func (f *Follower) current() site.Config {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.config
+}
+
+func (f *Follower) tell(ctx context.Context, peer string, version uint64) {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	if err := f.options.Peers.Tell(ctx, peer, share.Hint{Peer: f.options.Self, Version: version}); err != nil {
+		f.options.Scope.Counter("config_hint_errors").Inc(1)
+	}
+}
+
+func (f *Follower) apply(ctx context.Context, c sync.Apply) {
+	if err := f.options.Apply(ctx, c.Version, c.Config); err != nil {
+		f.options.Logger.Error("configuration not applied", "version", c.Version, "error", err)
+		return
+	}
+	f.options.Scope.Counter("config_applied").Inc(1)
+	f.options.Scope.Gauge("config_version").Update(float64(c.Version))
+	f.remember(c)
+}
+
+// remember keeps how to get here from the version before, for peers that stand
+// there. The chain has a bound and no gap.
+func (f *Follower) remember(c sync.Apply) {
+	f.mu.Lock()
+	before, sum := f.config, f.sum
+	f.mu.Unlock()
+	change := delta.Between(0, before, c.Config)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if sum != "" {
+		change.Base, change.Version = f.last, c.Version
+		f.changes = append(f.changes[max(0, len(f.changes)-maxChanges+1):], change)
+	}
+	f.config, f.sum = c.Config, c.Sum
+	f.last = c.Version
+}
+
+func (f *Follower) warn(flag sync.Flag) {
+	f.mu.Lock()
+	f.flag = flag
+	f.mu.Unlock()
+	if flag == nil {
+		f.options.Scope.Gauge("config_flag").Update(0)
+		f.options.Logger.Info("the table's configuration agrees again")
+		return
+	}
+	f.options.Scope.Gauge("config_flag").Update(1)
+	f.options.Logger.Error(flag.String())
+}
+
+// deliver hands a message to the slice, which must learn of every end.
+func (f *Follower) deliver(ctx context.Context, message sync.Message) {
+	select {
+	case f.inbox <- message:
+	case <-ctx.Done():
+	}
+}
