--- a/internal/route/queue/queue.go
+++ b/internal/route/queue/queue.go
@@ -4,9 +4,21 @@
 package queue
 
 import (
+	"cmp"
 	"slices"
 )
 
+// scanned is the number of a flow's oldest items that are compared.
+const scanned = 32
+
+const (
+	// burst is the work that a flow may bring at once after it was idle, before
+	// it waits for its share.
+	burst = 40000.0
+	// keptFlows bounds the idle flows that are remembered.
+	keptFlows = 4096
+)
+
 // Item is a waiting request.
 type Item struct {
 	// ID identifies the request.
@@ -23,10 +35,12 @@
 //
 //	var q queue.Queue
 //	q.Push(queue.Item{ID: "a", Flow: "members", Weight: 2, Cost: 400})
-//	item, ok := q.Pop(func(queue.Item) bool { return true })
+//	item, ok := q.Next(func(queue.Item) (float64, bool) { return 0, true })
+//	q.Take(item)
 type Queue struct {
 	flows  map[string]*flow
 	names  []string
+	order  []string
 	now    float64
 	length int
 	cost   int
@@ -52,13 +66,13 @@
 	}
 	f, ok := q.flows[item.Flow]
 	if !ok {
-		f = &flow{finish: q.now}
+		f = &flow{finish: q.now - burst/item.Weight}
 		q.flows[item.Flow] = f
 		at, _ := slices.BinarySearch(q.names, item.Flow)
 		q.names = slices.Insert(q.names, at, item.Flow)
 	}
 	if len(f.items) == 0 {
-		f.finish = max(f.finish, q.now)
+		f.finish = max(f.finish, q.now-burst/item.Weight)
 	}
 	f.weight = item.Weight
 	f.items = append(f.items, item)
@@ -67,52 +81,80 @@
 	q.cost += item.Cost
 }
 
-// Pop removes and returns the first item, in fair order, that may run. Within
-// a flow an item that may not run lets those behind it pass.
-func (q *Queue) Pop(may func(Item) bool) (Item, bool) {
-	order := slices.Clone(q.names)
-	slices.SortStableFunc(order, func(a, b string) int { return compare(q.flows[a].finish, q.flows[b].finish) })
-	for _, name := range order {
+// Next returns the item that should run next and leaves it in the queue. The
+// flow is the first in fair order that has an item which may run; within it,
+// rank decides among the oldest items: the highest goes first. The second result
+// of rank is false for an item that may not run now.
+func (q *Queue) Next(rank func(Item) (float64, bool)) (Item, bool) {
+	q.order = append(q.order[:0], q.names...)
+	slices.SortStableFunc(q.order, func(a, b string) int { return cmp.Compare(q.flows[a].finish, q.flows[b].finish) })
+	for _, name := range q.order {
 		f := q.flows[name]
-		at := slices.IndexFunc(f.items, may)
-		if at < 0 {
-			continue
+		if at := best(f.items[:min(len(f.items), scanned)], rank); at >= 0 {
+			return f.items[at], true
 		}
-		item := f.items[at]
-		q.now = max(q.now, f.finish)
-		f.finish += float64(item.Cost) / item.Weight
-		q.take(name, at)
-		return item, true
 	}
 	return Item{}, false
 }
 
-// Remove takes an item out, wherever it stands.
-func (q *Queue) Remove(id string) bool {
-	for _, name := range q.names {
-		at := slices.IndexFunc(q.flows[name].items, func(i Item) bool { return i.ID == id })
-		if at >= 0 {
-			q.take(name, at)
-			return true
+// Take removes an item that runs now and charges its flow for it.
+func (q *Queue) Take(item Item) {
+	f, ok := q.flows[item.Flow]
+	if !ok {
+		return
+	}
+	q.now = max(q.now, f.finish)
+	f.finish += float64(item.Cost) / item.Weight
+	q.Remove(item)
+}
+
+func best(items []Item, rank func(Item) (float64, bool)) int {
+	at, highest := -1, 0.0
+	for i, item := range items {
+		if r, may := rank(item); may && (at < 0 || r > highest) {
+			at, highest = i, r
 		}
 	}
-	return false
+	return at
+}
+
+// Remove takes an item out without charging its flow.
+func (q *Queue) Remove(item Item) bool {
+	f, ok := q.flows[item.Flow]
+	if !ok {
+		return false
+	}
+	at := slices.IndexFunc(f.items, func(i Item) bool { return i.ID == item.ID })
+	if at < 0 {
+		return false
+	}
+	q.take(f, at)
+	return true
 }
 
 // Ahead returns the work that will be done before a new item of a flow: that of
-// the flow itself and the part that the other flows get meanwhile.
+// the flow itself and what the other flows are owed until its turn.
 func (q *Queue) Ahead(name string, weight float64) int {
-	own, weights := 0, 0.0
+	turn, own := q.now-burst/weight, 0
 	if f, ok := q.flows[name]; ok {
 		own = f.cost
+		turn = max(f.finish, turn) + float64(own)/weight
 	}
+	ahead := own
 	for _, other := range q.names {
-		if other != name {
-			weights += q.flows[other].weight
+		f := q.flows[other]
+		if other == name || f.finish >= turn {
+			continue
 		}
+		ahead += min(f.cost, int((turn-f.finish)*f.weight))
 	}
-	others := float64(own+meanCost(q)) * weights / weight
-	return own + min(q.cost-own, int(others))
+	return ahead
+}
+
+// Behind reports whether a flow has had less than its share lately.
+func (q *Queue) Behind(name string) bool {
+	f, ok := q.flows[name]
+	return !ok || f.finish < q.now
 }
 
 // Longest returns the last item of the flow with the most work for its weight.
@@ -141,8 +183,7 @@
 	return ids
 }
 
-func (q *Queue) take(name string, at int) {
-	f := q.flows[name]
+func (q *Queue) take(f *flow, at int) {
 	q.cost -= f.items[at].Cost
 	f.cost -= f.items[at].Cost
 	q.length--
@@ -154,28 +195,10 @@
 func (q *Queue) trim() {
 	q.names = slices.DeleteFunc(q.names, func(name string) bool {
 		f := q.flows[name]
-		idle := len(f.items) == 0 && (q.length == 0 || f.finish <= q.now)
+		idle := len(f.items) == 0 && (f.finish <= q.now-burst/f.weight || len(q.names) > keptFlows)
 		if idle {
 			delete(q.flows, name)
 		}
 		return idle
 	})
 }
-
-func meanCost(q *Queue) int {
-	if q.length == 0 {
-		return 0
-	}
-	return q.cost / q.length
-}
-
-func compare(a, b float64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
