Let operators check, submit, show and compare configurations

A node's operators' listener now takes submissions, shows versions verbatim, lists the history and tells its status: nodes with the version in force on each, engines with incarnation and weight version, loads per workspace. The command line speaks to any node. A conflict prints both sides as differences from the common base; a lost answer is resolved by sending the same nonce again. Exit codes tell wrong texts, conflicts and unknown outcomes apart.

Shown by: TestOperatorsDay, TestStatusCommand, TestCheckCommand (command lines against a node), TestChangeReachesEveryNodeAndReplacesKeys (two nodes, a bearer key replaced without a restart), TestRacingOperatorsSeeOneWinner, TestSubmissionSentTwiceIsAcceptedOnce.

--- /dev/null
+++ b/cmd/cicadamill/config.go
@@ -0,0 +1,195 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/cicadamill/cicadamill/internal/config/admin"
+	"github.com/cicadamill/cicadamill/internal/config/local"
+	"github.com/cicadamill/cicadamill/internal/config/site"
+)
+
+// configCommand holds the commands that concern the operators' configuration.
+type configCommand struct {
+	Check   *checkCommand   `arg:"subcommand:check" help:"check a text and apply nothing"`
+	Submit  *submitCommand  `arg:"subcommand:submit" help:"make a text the configuration in force"`
+	Show    *showCommand    `arg:"subcommand:show" help:"print a version, comments and all"`
+	Diff    *diffCommand    `arg:"subcommand:diff" help:"compare a file or a version with another version"`
+	History *historyCommand `arg:"subcommand:history" help:"list the accepted versions"`
+}
+
+// Run implements [command]; it is reached without a subcommand.
+func (c *configCommand) Run(context.Context, io.Writer) error {
+	return &exitError{Code: exitUsage, Err: errors.New("name one of config check, submit, show, diff, history")}
+}
+
+// checkCommand checks texts on this machine.
+type checkCommand struct {
+	File     string `arg:"positional" help:"configuration text" placeholder:"FILE"`
+	Settings string `arg:"--settings" help:"check a node's settings" placeholder:"FILE"`
+	JSON     bool   `arg:"--json" help:"print JSON"`
+}
+
+// checkReply is the JSON form of a sound text.
+type checkReply struct {
+	File       string `json:"file"`
+	Site       string `json:"site,omitempty"`
+	Node       string `json:"node,omitempty"`
+	Engines    int    `json:"engines"`
+	Workspaces int    `json:"workspaces"`
+}
+
+// Run implements [command].
+func (c *checkCommand) Run(_ context.Context, out io.Writer) error {
+	if c.File == "" && c.Settings == "" {
+		return &exitError{Code: exitUsage, Err: errors.New("name a FILE to check, or --settings FILE")}
+	}
+	for _, check := range []struct {
+		file string
+		read func([]byte) (checkReply, error)
+	}{{c.File, checkSite}, {c.Settings, checkLocal}} {
+		if check.file == "" {
+			continue
+		}
+		source, err := os.ReadFile(check.file)
+		if err != nil {
+			return err
+		}
+		reply, err := check.read(source)
+		if err != nil {
+			return &exitError{Code: exitInvalid, Err: fmt.Errorf("%s: %w", check.file, err)}
+		}
+		reply.File = check.file
+		if err := c.print(out, reply); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *checkCommand) print(out io.Writer, reply checkReply) error {
+	if c.JSON {
+		return json.NewEncoder(out).Encode(reply)
+	}
+	if reply.Node != "" {
+		_, err := fmt.Fprintf(out, "%s: sound settings of node %s\n", reply.File, reply.Node)
+		return err
+	}
+	_, err := fmt.Fprintf(out, "%s: sound configuration of site %s: %d engines, %d workspaces\n", reply.File, reply.Site, reply.Engines, reply.Workspaces)
+	return err
+}
+
+func checkSite(source []byte) (checkReply, error) {
+	config, err := site.Parse(source)
+	return checkReply{Site: config.Site, Engines: len(config.Engines), Workspaces: len(config.Workspaces)}, err
+}
+
+func checkLocal(source []byte) (checkReply, error) {
+	settings, err := local.Parse(source)
+	return checkReply{Node: settings.Name}, err
+}
+
+// submitCommand sends a text to a node.
+type submitCommand struct {
+	access
+	File   string `arg:"positional,required" help:"configuration text" placeholder:"FILE"`
+	Base   uint64 `arg:"--base,required" help:"version that the text started from, as config show prints it" placeholder:"VERSION"`
+	Author string `arg:"--author" help:"name to record" placeholder:"NAME"`
+	JSON   bool   `arg:"--json" help:"print JSON"`
+}
+
+const (
+	submitAttempts = 3
+	submitPause    = time.Second
+)
+
+// Run implements [command].
+func (c *submitCommand) Run(ctx context.Context, out io.Writer) error {
+	source, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	if _, err := site.Parse(source); err != nil {
+		return &exitError{Code: exitInvalid, Err: fmt.Errorf("%s: %w", c.File, err)}
+	}
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	accepted, err := c.send(ctx, client, admin.Submission{Base: c.Base, Nonce: rand.Text(), Author: c.Author, Text: string(source)})
+	var refusal *admin.Refusal
+	if errors.As(err, &refusal) && refusal.Code == admin.Conflict {
+		return c.conflict(ctx, client, refusal, string(source))
+	}
+	if err != nil {
+		return exitFor(err)
+	}
+	if c.JSON {
+		return json.NewEncoder(out).Encode(accepted)
+	}
+	_, err = fmt.Fprintf(out, "accepted as version %d\n", accepted.Version)
+	return err
+}
+
+// send repeats a submission whose answer was lost. The nonce stays the same, so
+// that it is accepted at most once.
+func (c *submitCommand) send(ctx context.Context, client *admin.Client, s admin.Submission) (admin.Accepted, error) {
+	var accepted admin.Accepted
+	var err error
+	for attempt := range submitAttempts {
+		if attempt > 0 {
+			select {
+			case <-ctx.Done():
+				return accepted, ctx.Err()
+			case <-time.After(submitPause):
+			}
+		}
+		accepted, err = client.Submit(ctx, s)
+		var unreachable *admin.UnreachableError
+		if !errors.As(err, &unreachable) {
+			return accepted, err
+		}
+	}
+	return accepted, err
+}
+
+// conflict shows both sides: what was accepted since the base, and what this
+// text changes.
+func (c *submitCommand) conflict(ctx context.Context, client *admin.Client, refusal *admin.Refusal, mine string) error {
+	message := refusal.Message + "\n"
+	base, baseErr := client.Show(ctx, refusal.Base)
+	theirs, theirsErr := client.Show(ctx, refusal.Current)
+	if baseErr == nil && theirsErr == nil {
+		message += fmt.Sprintf("\naccepted since version %d:\n%s\nthis text since version %d:\n%s\n",
+			refusal.Base, unified(base.Text, theirs.Text, refusal.Base, fmt.Sprint("version ", refusal.Current)),
+			refusal.Base, unified(base.Text, mine, refusal.Base, c.File))
+	}
+	message += fmt.Sprintf("start again from version %d: cicadamill config show --version %d", refusal.Current, refusal.Current)
+	return &exitError{Code: exitConflict, Err: errors.New(message)}
+}
+
+// exitFor chooses the exit code of an answer from a node.
+func exitFor(err error) error {
+	var refusal *admin.Refusal
+	var unreachable *admin.UnreachableError
+	switch {
+	case errors.As(err, &unreachable):
+		return &exitError{Code: exitUnknown, Err: fmt.Errorf("%w; ask another node with --node, and see config history before submitting again", err)}
+	case !errors.As(err, &refusal):
+		return err
+	case refusal.Code == admin.InvalidConfiguration:
+		return &exitError{Code: exitInvalid, Err: err}
+	case refusal.Code == admin.Conflict:
+		return &exitError{Code: exitConflict, Err: err}
+	case refusal.Code == admin.OutcomeUnknown:
+		return &exitError{Code: exitUnknown, Err: fmt.Errorf("%w; see config history before submitting again", err)}
+	default:
+		return err
+	}
+}
--- /dev/null
+++ b/cmd/cicadamill/config_test.go
@@ -0,0 +1,140 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadamill/cicadamill/internal/config/local"
+	"github.com/cicadamill/cicadamill/internal/node/server"
+	"github.com/cicadamill/cicadamill/internal/standin/embed"
+)
+
+// operator types command lines against one running node.
+type operator struct {
+	t    *testing.T
+	node string
+	text string
+	dir  string
+}
+
+func newOperator(t *testing.T) operator {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	site, _, err := embed.New(ctx)
+	require.NoError(t, err)
+	node := server.New(local.Settings{
+		Name: "node-1", DataCentre: "local", CallerAddress: "127.0.0.1:0", OperatorAddress: "127.0.0.1:0", Bootstrap: site.Config,
+		TableAddress: site.TableAddress, ObjectAddress: site.ObjectAddress, HostsAddress: site.HostsAddress,
+	}, hclog.NewNullLogger())
+	ended := make(chan error, 1)
+	go func(ctx context.Context) { ended <- node.Serve(ctx) }(ctx)
+	t.Cleanup(func() {
+		cancel()
+		assert.NoError(t, <-ended)
+	})
+	return operator{t: t, node: (<-node.Ready()).Operator, text: string(site.Config), dir: t.TempDir()}
+}
+
+// types runs one command line and returns its exit code and what it printed.
+func (o operator) types(line ...string) (int, string) {
+	o.t.Helper()
+	var out, errOut bytes.Buffer
+	code := run(o.t.Context(), append(line, "--node", o.node), &out, &errOut)
+	return code, out.String() + errOut.String()
+}
+
+func (o operator) file(name, old, replacement string) string {
+	o.t.Helper()
+	require.Contains(o.t, o.text, old)
+	path := filepath.Join(o.dir, name)
+	require.NoError(o.t, os.WriteFile(path, []byte(strings.Replace(o.text, old, replacement, 1)), 0o600))
+	return path
+}
+
+func TestOperatorsDay(t *testing.T) {
+	o := newOperator(t)
+	code, out := o.types("config", "show")
+	require.Equal(t, exitOK, code, out)
+	assert.Equal(t, o.text, out, "comments and all")
+
+	first := o.file("first.jsonc", `"share": 3`, `"share": 5`)
+	code, out = o.types("config", "submit", "--base", "0", "--author", "ama", first)
+	require.Equal(t, exitOK, code, out)
+	assert.Equal(t, "accepted as version 1\n", out)
+
+	second := o.file("second.jsonc", `"share": 1`, `"share": 2`)
+	code, out = o.types("config", "submit", "--base", "0", second)
+	assert.Equal(t, exitConflict, code)
+	for _, want := range []string{"version 1 was accepted after version 0", `+    {"name": "members", "share": 5`, `+    {"name": "sellers", "share": 2`, "start again from version 1"} {
+		assert.Contains(t, out, want)
+	}
+
+	bad := o.file("bad.jsonc", `"share": 3`, `"share": -3`)
+	code, out = o.types("config", "submit", "--base", "1", bad)
+	assert.Equal(t, exitInvalid, code)
+	assert.Contains(t, out, "workspaces[0].share: is -3")
+
+	code, out = o.types("config", "diff", "0", "1")
+	assert.Equal(t, exitOK, code)
+	assert.Contains(t, out, `-    {"name": "members", "share": 3`)
+	code, out = o.types("config", "history")
+	assert.Equal(t, exitOK, code)
+	assert.Contains(t, out, "ama")
+	code, out = o.types("config", "show", "--version", "9")
+	assert.Equal(t, exitFailure, code)
+	assert.Contains(t, out, "there is no record of version 9")
+}
+
+func TestStatusCommand(t *testing.T) {
+	o := newOperator(t)
+	code, out := o.types("status")
+	require.Equal(t, exitOK, code, out)
+	for _, want := range []string{"node node-1 at local, site sample, ready true", "engine-3", "WORKSPACE"} {
+		assert.Contains(t, out, want)
+	}
+	code, out = o.types("status", "--json")
+	assert.Equal(t, exitOK, code)
+	assert.Contains(t, out, `{"node":"node-1"`)
+}
+
+func TestUnreachableNode(t *testing.T) {
+	o := operator{t: t, node: "127.0.0.1:1", text: `"x"`, dir: t.TempDir()}
+	code, out := o.types("status")
+	assert.Equal(t, exitFailure, code)
+	assert.Contains(t, out, "node 127.0.0.1:1 gave no answer")
+	o.node = "localhost:1"
+	code, out = o.types("status")
+	assert.Equal(t, exitUsage, code)
+	assert.Contains(t, out, "--node must be an IP number with a port")
+}
+
+func TestCheckCommand(t *testing.T) {
+	tests := map[string]struct {
+		line []string
+		code int
+		out  string
+	}{
+		"configuration": {[]string{"config", "check", "../../examples/kochi/configuration.jsonc"}, exitOK, "sound configuration of site kochi: 15 engines, 8 workspaces"},
+		"settings":      {[]string{"config", "check", "--settings", "../../examples/ashaiman/node.jsonc"}, exitOK, "sound settings of node tema-1"},
+		"json":          {[]string{"config", "check", "--json", "../../examples/ashaiman/configuration.jsonc"}, exitOK, `"engines":13`},
+		"bad":           {[]string{"config", "check", "config_test.go"}, exitInvalid, "1 error in the configuration"},
+		"nothing":       {[]string{"config", "check"}, exitUsage, "name a FILE"},
+		"no command":    {[]string{"config"}, exitUsage, "name one of config check"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var out, errOut bytes.Buffer
+			code := run(t.Context(), test.line, &out, &errOut)
+			assert.Equal(t, test.code, code)
+			assert.Contains(t, out.String()+errOut.String(), test.out)
+		})
+	}
+}
--- a/cmd/cicadamill/main.go
+++ b/cmd/cicadamill/main.go
@@ -26,6 +26,8 @@
 // args holds one field for each command; its type lies in the command's file.
 type args struct {
 	Serve   *serveCommand   `arg:"subcommand:serve" help:"run a node"`
+	Config  *configCommand  `arg:"subcommand:config" help:"check, submit, show and compare configurations"`
+	Status  *statusCommand  `arg:"subcommand:status" help:"print nodes, targets and loads as a node sees them"`
 	Measure *measureCommand `arg:"subcommand:measure" help:"measure routing decisions in virtual time"`
 	Load    *loadCommand    `arg:"subcommand:load" help:"send a seeded load and check the answers"`
 	Standin *standinCommand `arg:"subcommand:standin" help:"run a stand-in of an engine, the platform or a service"`
@@ -61,6 +63,10 @@
 	return `Examples:
   cicadamill serve --embedded
   cicadamill serve --settings node.jsonc
+  cicadamill config check configuration.jsonc
+  cicadamill config show --node 10.0.0.1:8082 > configuration.jsonc
+  cicadamill config submit --node 10.0.0.1:8082 --base 7 configuration.jsonc
+  cicadamill status --node 10.0.0.1:8082 --json
 
 Exit codes: 0 done, 1 failed, 2 wrong usage, 3 a text has errors, 4 someone
 else changed the configuration first, 5 not known whether it took effect.`
--- a/internal/config/live/live.go
+++ b/internal/config/live/live.go
@@ -13,6 +13,7 @@
 }
 
 type version struct {
+	set    bool
 	number uint64
 	text   []byte
 	config site.Config
@@ -34,16 +35,17 @@
 // Version returns the number of the configuration in force; zero means none.
 func (a *Applied) Version() uint64 { return a.current.Load().number }
 
-// Text returns the operators' text of the configuration in force.
+// Text returns the text of the configuration in force, when it was applied
+// with one.
 func (a *Applied) Text() []byte { return a.current.Load().text }
 
 // Apply puts a configuration in force if it is newer than the present one, and
 // reports whether it was.
 func (a *Applied) Apply(number uint64, text []byte, config site.Config) bool {
-	next := &version{number: number, text: text, config: config}
+	next := &version{set: true, number: number, text: text, config: config}
 	for {
 		current := a.current.Load()
-		if current.number >= number && current.text != nil {
+		if current.set && current.number >= number {
 			return false
 		}
 		if a.current.CompareAndSwap(current, next) {
--- a/internal/config/live/live_test.go
+++ b/internal/config/live/live_test.go
@@ -25,6 +25,14 @@
 	assert.False(t, applied.Apply(62, []byte("{}"), site.Config{}))
 }
 
+func TestVersionOnlyRisesWithoutTexts(t *testing.T) {
+	applied := live.New()
+	assert.True(t, applied.Apply(5, nil, site.Config{Site: "five"}))
+	assert.False(t, applied.Apply(4, nil, site.Config{Site: "four"}))
+	assert.False(t, applied.Apply(5, nil, site.Config{Site: "other five"}))
+	assert.Equal(t, "five", applied.Config().Site)
+}
+
 func ExampleApplied_Apply() {
 	applied := live.New()
 	applied.Apply(2, []byte("{}"), site.Config{Site: "tema"})
--- a/internal/config/share/share.go
+++ b/internal/config/share/share.go
@@ -125,6 +125,7 @@
 	if err != nil {
 		return Answer{}, false, errors.Trace(err)
 	}
+	request.Header.Set("Accept-Encoding", "gzip")
 	response, err := c.http.Do(request)
 	if err != nil {
 		return Answer{}, false, errors.Annotate(err, "asking for the configuration")
@@ -137,11 +138,24 @@
 	default:
 		return Answer{}, false, errors.Errorf("asking for the configuration: status %s", response.Status)
 	}
-	var answer Answer
-	err = json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(&answer)
+	answer, err := decode(response)
 	return answer, err == nil, errors.Annotate(err, "reading a configuration")
 }
 
+func decode(response *http.Response) (Answer, error) {
+	var body io.Reader = response.Body
+	if response.Header.Get("Content-Encoding") == "gzip" {
+		unpacked, err := gzip.NewReader(response.Body)
+		if err != nil {
+			return Answer{}, errors.Trace(err)
+		}
+		body = unpacked
+	}
+	var answer Answer
+	err := json.NewDecoder(io.LimitReader(body, maxAnswerBytes)).Decode(&answer)
+	return answer, errors.Trace(err)
+}
+
 // Tell hints to a node that another one has a version in force.
 func (c *Client) Tell(ctx context.Context, peer string, hint Hint) error {
 	encoded, err := json.Marshal(hint)
--- /dev/null
+++ b/internal/node/server/config_test.go
@@ -0,0 +1,118 @@
+package server_test
+
+import (
+	"context"
+	"crypto/rand"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadamill/cicadamill/internal/config/admin"
+	"github.com/cicadamill/cicadamill/internal/config/local"
+	"github.com/cicadamill/cicadamill/internal/entry/auth"
+	"github.com/cicadamill/cicadamill/internal/node/server"
+	"github.com/cicadamill/cicadamill/internal/standin/embed"
+)
+
+// inForceWithin is the target of the brief.
+const inForceWithin = 5 * time.Second
+
+// pair runs two nodes of one site and returns their addresses and the text
+// that they start with.
+func pair(t *testing.T) (first, second server.Addresses, text string) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	site, _, err := embed.New(ctx)
+	require.NoError(t, err)
+	ended := make(chan error, 2)
+	run := func(name string, peers ...string) server.Addresses {
+		node := server.New(local.Settings{
+			Name: name, DataCentre: "local", CallerAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", OperatorAddress: "127.0.0.1:0",
+			Peers: peers, Bootstrap: site.Config, TableAddress: site.TableAddress, ObjectAddress: site.ObjectAddress,
+		}, hclog.NewNullLogger())
+		go func(ctx context.Context) { ended <- node.Serve(ctx) }(ctx)
+		return <-node.Ready()
+	}
+	first = run("node-1")
+	second = run("node-2", first.Peer)
+	t.Cleanup(func() {
+		cancel()
+		assert.NoError(t, <-ended)
+		assert.NoError(t, <-ended)
+	})
+	return first, second, string(site.Config)
+}
+
+func client(address string) *admin.Client {
+	return admin.New("http", address, &http.Client{Timeout: inForceWithin})
+}
+
+// require polls until a node has the version in force.
+func requireVersion(t *testing.T, address string, version uint64) admin.Status {
+	t.Helper()
+	var status admin.Status
+	require.Eventually(t, func() bool {
+		var err error
+		status, err = client(address).Status(t.Context())
+		return err == nil && status.Version == version
+	}, inForceWithin, 20*time.Millisecond)
+	return status
+}
+
+func TestChangeReachesEveryNodeAndReplacesKeys(t *testing.T) {
+	first, second, text := pair(t)
+	status := func(address, key string) int {
+		response, _ := ask(t, address, key, "What do posts cost?", true)
+		return response.StatusCode
+	}
+	require.Equal(t, http.StatusOK, status(second.Caller, embed.MembersKey))
+	next := strings.Replace(text, auth.Hash(embed.MembersKey), auth.Hash("new-key"), 1)
+	accepted, err := client(first.Operator).Submit(t.Context(), admin.Submission{Nonce: rand.Text(), Text: next})
+	require.NoError(t, err)
+	assert.EqualValues(t, 1, accepted.Version)
+	for _, node := range []server.Addresses{first, second} {
+		requireVersion(t, node.Operator, 1)
+		assert.Equal(t, http.StatusOK, status(node.Caller, "new-key"))
+		assert.Equal(t, http.StatusUnauthorized, status(node.Caller, embed.MembersKey))
+	}
+}
+
+func TestRacingOperatorsSeeOneWinner(t *testing.T) {
+	first, second, text := pair(t)
+	_, err := client(first.Operator).Submit(t.Context(), admin.Submission{Nonce: rand.Text(), Text: text})
+	require.NoError(t, err)
+	_, err = client(second.Operator).Submit(t.Context(), admin.Submission{Nonce: rand.Text(), Text: text})
+	var refusal *admin.Refusal
+	require.ErrorAs(t, err, &refusal)
+	assert.Equal(t, admin.Conflict, refusal.Code)
+	assert.EqualValues(t, 1, refusal.Current)
+}
+
+func TestSubmissionSentTwiceIsAcceptedOnce(t *testing.T) {
+	first, second, text := pair(t)
+	submission := admin.Submission{Nonce: rand.Text(), Text: text}
+	for _, node := range []server.Addresses{first, second} {
+		accepted, err := client(node.Operator).Submit(t.Context(), submission)
+		require.NoError(t, err)
+		assert.EqualValues(t, 1, accepted.Version)
+	}
+	history, err := client(first.Operator).History(t.Context(), 10)
+	require.NoError(t, err)
+	assert.Len(t, history.Entries, 1)
+}
+
+func TestBadTextIsRefusedByTheNode(t *testing.T) {
+	first, _, text := pair(t)
+	_, err := client(first.Operator).Submit(t.Context(), admin.Submission{Nonce: "n", Text: strings.Replace(text, `"share": 3`, `"share": -3`, 1)})
+	var refusal *admin.Refusal
+	require.ErrorAs(t, err, &refusal)
+	assert.Equal(t, admin.InvalidConfiguration, refusal.Code)
+	require.Len(t, refusal.Issues, 1)
+	assert.Equal(t, "workspaces[0].share", refusal.Issues[0].Path)
+	requireVersion(t, first.Operator, 0)
+}
--- a/internal/node/server/fleet.go
+++ b/internal/node/server/fleet.go
@@ -197,6 +197,7 @@
 
 // saw takes an engine's report of itself.
 func (f *fleet) saw(target string, load engine.Load) {
+	f.server.reports.Store(target, load)
 	if f.gossip != nil {
 		f.gossip.Saw(target, load.Incarnation, load.Leaving)
 	}
--- a/internal/node/server/listen.go
+++ b/internal/node/server/listen.go
@@ -42,13 +42,9 @@
 
 // bootstrap applies the configuration from the settings, as version zero.
 func (s *Server) bootstrap(ctx context.Context) error {
-	text := []byte(s.settings.Bootstrap)
-	if s.settings.BootstrapFile != "" {
-		read, err := os.ReadFile(s.settings.BootstrapFile)
-		if err != nil {
-			return errors.Annotate(err, "reading the bootstrap configuration")
-		}
-		text = read
+	text, err := s.bootstrapText()
+	if err != nil {
+		return err
 	}
 	if len(text) == 0 {
 		s.logger.Warn("no bootstrap configuration: callers are refused until a peer or the table answers")
@@ -56,3 +52,12 @@
 	}
 	return errors.Annotate(s.Apply(ctx, 0, text), "applying the bootstrap configuration")
 }
+
+// bootstrapText reads that configuration, in the settings or from its file.
+func (s *Server) bootstrapText() ([]byte, error) {
+	if s.settings.BootstrapFile == "" {
+		return s.settings.Bootstrap, nil
+	}
+	text, err := os.ReadFile(s.settings.BootstrapFile)
+	return text, errors.Annotate(err, "reading the bootstrap configuration")
+}
--- /dev/null
+++ b/internal/node/server/operate.go
@@ -0,0 +1,177 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cicadamill/cicadamill/internal/config/admin"
+	"github.com/cicadamill/cicadamill/internal/config/delta"
+	"github.com/cicadamill/cicadamill/internal/config/record"
+	"github.com/cicadamill/cicadamill/internal/config/site"
+	"github.com/cicadamill/cicadamill/internal/config/submit"
+	"github.com/cicadamill/cicadamill/internal/config/text"
+)
+
+const (
+	submitTimeout = 10 * time.Second
+	readTimeout   = 5 * time.Second
+	maxHistory    = 200
+)
+
+// manage serves the configuration and the status to operators.
+func (o *operators) manage(mux *http.ServeMux) {
+	mux.HandleFunc("POST "+admin.ConfigPath, o.serveSubmit)
+	mux.HandleFunc("GET "+admin.ConfigPath, o.serveShow)
+	mux.HandleFunc("GET "+admin.HistoryPath, o.serveHistory)
+	mux.HandleFunc("GET "+admin.StatusPath, o.serveStatus)
+}
+
+func (o *operators) serveSubmit(w http.ResponseWriter, r *http.Request) {
+	var submission admin.Submission
+	body, err := io.ReadAll(r.Body)
+	if err == nil {
+		err = json.Unmarshal(body, &submission)
+	}
+	if err != nil || submission.Nonce == "" {
+		refuse(w, http.StatusBadRequest, &admin.Refusal{Code: admin.BadRequest, Message: "send base, nonce and text as JSON"})
+		return
+	}
+	version, err := o.submit(r.Context(), submission)
+	if err != nil {
+		o.server.watch.scope().Tagged(map[string]string{"code": refusalOf(err).Code}).Counter("config_submissions_refused").Inc(1)
+		refuse(w, statusOf(err), refusalOf(err))
+		return
+	}
+	o.server.watch.scope().Counter("config_submissions_accepted").Inc(1)
+	o.server.logger.Info("configuration accepted", "version", version, "author", submission.Author)
+	answer(w, admin.Accepted{Version: version})
+}
+
+func (o *operators) submit(ctx context.Context, s admin.Submission) (uint64, error) {
+	config, err := site.Parse([]byte(s.Text))
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	entry := submit.Entry{
+		Base: s.Base, Nonce: s.Nonce, Author: s.Author, Time: time.Now().UTC(),
+		Sum: delta.Sum(delta.Sort(config)), Text: record.TextKey(s.Base, s.Nonce),
+	}
+	version, err := o.configs.store.Submit(ctx, entry, []byte(s.Text), o.configs.follower.Version())
+	if err != nil {
+		return 0, err
+	}
+	o.configs.follower.Accepted(version, config)
+	return version, nil
+}
+
+func (o *operators) serveShow(w http.ResponseWriter, r *http.Request) {
+	version := o.server.applied.Version()
+	if wanted := r.URL.Query().Get("version"); wanted != "" {
+		parsed, err := strconv.ParseUint(wanted, 10, 64)
+		if err != nil {
+			refuse(w, http.StatusBadRequest, &admin.Refusal{Code: admin.BadRequest, Message: "version must be a whole number"})
+			return
+		}
+		version = parsed
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), readTimeout)
+	defer cancel()
+	found, err := o.text(ctx, version)
+	if err == nil {
+		answer(w, admin.Text{Version: version, Text: string(found), Verbatim: true})
+		return
+	}
+	if version != o.server.applied.Version() {
+		refuse(w, http.StatusNotFound, &admin.Refusal{Code: admin.NotFound, Message: err.Error()})
+		return
+	}
+	content, err := json.MarshalIndent(o.server.applied.Config(), "", "  ")
+	if err != nil {
+		refuse(w, http.StatusInternalServerError, &admin.Refusal{Code: admin.PlatformUnavailable, Message: err.Error()})
+		return
+	}
+	answer(w, admin.Text{Version: version, Text: string(content)})
+}
+
+// text finds the operator's text of a version.
+func (o *operators) text(ctx context.Context, version uint64) ([]byte, error) {
+	if version == 0 {
+		return o.server.bootstrapText()
+	}
+	entry, err := o.configs.store.Entry(ctx, version)
+	if err != nil {
+		return nil, err
+	}
+	if entry.Nonce == "" {
+		return nil, errors.New("there is no record of version " + strconv.FormatUint(version, 10))
+	}
+	return o.configs.store.Text(ctx, entry)
+}
+
+func (o *operators) serveHistory(w http.ResponseWriter, r *http.Request) {
+	limit, err := strconv.Atoi(r.URL.Query().Get("limit"))
+	if err != nil || limit < 1 || limit > maxHistory {
+		refuse(w, http.StatusBadRequest, &admin.Refusal{Code: admin.BadRequest, Message: "limit must be between 1 and " + strconv.Itoa(maxHistory)})
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), readTimeout)
+	defer cancel()
+	_, head, err := o.configs.store.Head(ctx)
+	if err == nil {
+		var entries []submit.Entry
+		entries, err = o.configs.store.History(ctx, head.Version+1, limit)
+		if err == nil {
+			answer(w, admin.History{Entries: entries})
+			return
+		}
+	}
+	refuse(w, http.StatusServiceUnavailable, &admin.Refusal{Code: admin.PlatformUnavailable, Message: "the table does not answer: " + err.Error()})
+}
+
+// refusalOf tells an operator why a submission was not accepted.
+func refusalOf(err error) *admin.Refusal {
+	var invalid *text.Error
+	var conflict *submit.ConflictError
+	var outage *submit.OutageError
+	switch {
+	case errors.As(err, &invalid):
+		return &admin.Refusal{Code: admin.InvalidConfiguration, Message: invalid.Error(), Issues: invalid.Issues}
+	case errors.As(err, &conflict):
+		return &admin.Refusal{Code: admin.Conflict, Message: conflict.Error(), Base: conflict.Base, Current: conflict.Current}
+	case errors.As(err, &outage) && !outage.MayHaveApplied:
+		return &admin.Refusal{Code: admin.PlatformUnavailable, Message: err.Error()}
+	default:
+		return &admin.Refusal{Code: admin.OutcomeUnknown, Message: err.Error()}
+	}
+}
+
+func statusOf(err error) int {
+	switch refusalOf(err).Code {
+	case admin.InvalidConfiguration:
+		return http.StatusUnprocessableEntity
+	case admin.Conflict:
+		return http.StatusConflict
+	case admin.PlatformUnavailable:
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusGatewayTimeout
+	}
+}
+
+func refuse(w http.ResponseWriter, status int, refusal *admin.Refusal) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(refusal)
+}
+
+func answer(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- a/internal/node/server/operators.go
+++ b/internal/node/server/operators.go
@@ -18,11 +18,12 @@
 // the callers' listener and answers nothing that a caller could reach.
 type operators struct {
 	server   *Server
+	configs  *configs
 	listener net.Listener
 }
 
 // openOperators opens the operators' listener; without an address there is none.
-func (s *Server) openOperators() (*operators, error) {
+func (s *Server) openOperators(c *configs) (*operators, error) {
 	if s.settings.OperatorAddress == "" {
 		return nil, nil
 	}
@@ -33,7 +34,7 @@
 	if !s.settings.OperatorTLS.Set() {
 		s.logger.Warn("operators connect without keys: anyone who reaches the listener may change the configuration", "address", listener.Addr().String())
 	}
-	return &operators{server: s, listener: listener}, nil
+	return &operators{server: s, configs: c, listener: listener}, nil
 }
 
 // address returns where operators connect; empty without a listener.
@@ -64,6 +65,7 @@
 func (o *operators) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", o.server.watch.meter.Handler())
+	o.manage(mux)
 	if o.server.settings.Pprof {
 		mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 		mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -38,6 +38,7 @@
 	http     *http.Client
 	ready    chan Addresses
 	watch    watch
+	reports  sync.Map
 	streams  streams
 }
 
@@ -79,14 +80,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	if !s.applied.Apply(number, text, config) {
-		return nil
-	}
-	s.logger.Info("configuration applied", "version", number)
-	s.watch.rank(config)
-	s.cells.Apply(ctx, config)
-	s.fleet.applied(number)
-	return nil
+	return s.put(ctx, number, text, config)
 }
 
 // Serve runs the node until the context ends.
@@ -97,7 +91,11 @@
 	if err := s.fleet.open(); err != nil {
 		return err
 	}
-	operators, err := s.openOperators()
+	configs, err := s.openConfigs()
+	if err != nil {
+		return err
+	}
+	operators, err := s.openOperators(configs)
 	if err != nil {
 		return err
 	}
@@ -110,6 +108,8 @@
 	}
 	supervisor := suture.New(s.settings.Name, suture.Spec{EventHook: s.supervised})
 	supervisor.Add(s.cells)
+	supervisor.Add(configs.follower)
+	supervisor.Add(configs)
 	s.fleet.add(supervisor)
 	supervisor.Add(s.streams.guard)
 	supervisor.Add(s.poller())
--- a/internal/node/server/watch.go
+++ b/internal/node/server/watch.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/cicadamill/cicadamill/internal/config/admin"
 	"github.com/cicadamill/cicadamill/internal/config/site"
 	"github.com/cicadamill/cicadamill/internal/entry/front"
 	"github.com/cicadamill/cicadamill/internal/watch/calls"
@@ -25,6 +26,7 @@
 
 // watch is what a node shows of itself: metrics, health and readiness.
 type watch struct {
+	calls  *calls.Runner
 	meter  *meter.Meter
 	labels *label.Set
 	health *health.State
@@ -42,8 +44,18 @@
 func (w watch) scope() tally.Scope { return w.meter.Scope() }
 
 // runner measures chat requests.
-func (w watch) runner(next front.Runner) front.Runner {
-	return calls.New(next, w.scope(), w.labels)
+func (w *watch) runner(next front.Runner) front.Runner {
+	w.calls = calls.New(next, w.scope(), w.labels)
+	return w.calls
+}
+
+// loads lists what each workspace has under way on this node.
+func (w watch) loads() []admin.Load {
+	loads := []admin.Load{}
+	for _, load := range w.calls.Loads() {
+		loads = append(loads, admin.Load(load))
+	}
+	return loads
 }
 
 // callers adds health, readiness and the count of refusals to a handler.
--- a/internal/watch/calls/calls.go
+++ b/internal/watch/calls/calls.go
@@ -3,7 +3,9 @@
 package calls
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,6 +48,7 @@
 // Run implements [front.Runner].
 func (r *Runner) Run(ctx context.Context, j job.Job, sink func(engine.Event) error) error {
 	group := r.group(j)
+	group.requests.Add(1)
 	group.running.add(1)
 	defer group.running.add(-1)
 	w := &watcher{group: group, known: r.memory.known(j), begun: time.Now(), sink: sink}
@@ -74,6 +77,32 @@
 	return made.(*group)
 }
 
+// Load is what one workspace has under way.
+type Load struct {
+	// Workspace is the label of the workspace.
+	Workspace string
+	// Class is "interactive" or "batch".
+	Class string
+	// Running is the number of requests under way.
+	Running int64
+	// Requests counts the requests so far.
+	Requests int64
+}
+
+// Loads lists the workspaces that have sent requests, by name.
+func (r *Runner) Loads() []Load {
+	var loads []Load
+	r.groups.Range(func(key, value any) bool {
+		k, g := key.(groupKey), value.(*group)
+		loads = append(loads, Load{Workspace: k.workspace, Class: k.class, Running: g.running.value.Load(), Requests: g.requests.Load()})
+		return true
+	})
+	slices.SortFunc(loads, func(a, b Load) int {
+		return cmp.Or(cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Class, b.Class))
+	})
+	return loads
+}
+
 // watcher follows one request.
 type watcher struct {
 	group    *group
--- a/internal/watch/calls/group.go
+++ b/internal/watch/calls/group.go
@@ -18,6 +18,7 @@
 	prompt, cached, recomputed, generated tally.Counter
 	ttft, gap, total                      tally.Histogram
 	running                               *gauge
+	requests                              atomic.Int64
 }
 
 // gauge counts up and down.
