--- a/internal/tool/procs/plan_test.go
+++ b/internal/tool/procs/plan_test.go
@@ -1,10 +1,12 @@
 package procs_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -42,7 +44,9 @@
 		}
 		events = append(events, event{at: at, kind: kind, who: who})
 	}
-	return append(events, event{at: length / 2, kind: "herd"})
+	events = append(events, event{at: length / 2, kind: "herd"})
+	slices.SortStableFunc(events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
+	return events
 }
 
 // play carries the plan out and returns how often each kind happened. Whatever
