--- a/internal/tool/procs/procs_test.go
+++ b/internal/tool/procs/procs_test.go
@@ -37,7 +37,7 @@
 	defer cancel()
 	n := chosen()
 	t.Logf("seed %d", *seed)
-	s := open(t, ctx, n.routers, n.engines)
+	s := open(ctx, t, n.routers, n.engines)
 	run := load.New(s.options(n))
 	reports := make(chan load.Report)
 	go func(ctx context.Context) { reports <- run.Do(ctx, nil) }(ctx)
--- a/internal/tool/procs/site_test.go
+++ b/internal/tool/procs/site_test.go
@@ -44,7 +44,7 @@
 }
 
 // open starts a site and waits until every router answers.
-func open(t *testing.T, ctx context.Context, routers, engines int) *scene {
+func open(ctx context.Context, t *testing.T, routers, engines int) *scene {
 	t.Helper()
 	s := &scene{addresses: map[string]string{}, ports: newPorts(), binary: build(t), folder: t.TempDir()}
 	s.platform = s.add(t, "platform", "standin", "platform")
