--- a/internal/entry/front/answer.go
+++ b/internal/entry/front/answer.go
@@ -47,7 +47,7 @@
 
 // stream answers a request with server-sent events.
 func (h *Handler) stream(w http.ResponseWriter, r *http.Request, j job.Job) {
-	out := newWriter(w, j)
+	out := newWriter(w, j, h.write)
 	err := h.runner.Run(r.Context(), j, out.event)
 	out.close()
 	switch {
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 	"github.com/zeebo/xxh3"
@@ -39,6 +40,7 @@
 	config func() site.Config
 	runner Runner
 	scope  tally.Scope
+	write  time.Duration
 	mux    *http.ServeMux
 }
 
@@ -48,11 +50,15 @@
 // WithScope sets where counters go.
 func WithScope(scope tally.Scope) Option { return func(h *Handler) { h.scope = scope } }
 
+// WithWriteTimeout bounds how long a caller may take no byte of a stream while
+// some are due.
+func WithWriteTimeout(d time.Duration) Option { return func(h *Handler) { h.write = d } }
+
 // New returns a handler. The function config returns the configuration in force.
 //
 //	handler := front.New("node-1", applied.Config, runner)
 func New(node string, config func() site.Config, runner Runner, options ...Option) *Handler {
-	h := &Handler{node: node, config: config, runner: runner, scope: tally.NoopScope, mux: http.NewServeMux()}
+	h := &Handler{node: node, config: config, runner: runner, scope: tally.NoopScope, write: defaultWrite, mux: http.NewServeMux()}
 	for _, option := range options {
 		option(h)
 	}
--- a/internal/entry/front/writer.go
+++ b/internal/entry/front/writer.go
@@ -12,28 +12,30 @@
 )
 
 const (
-	// writeTimeout is how long a caller may take no byte while some are due.
-	writeTimeout = 30 * time.Second
-	// renewal spares setting a deadline for each event.
-	renewal = time.Second
+	// defaultWrite is how long a caller may take no byte while some are due.
+	defaultWrite = 30 * time.Second
+	// renewals is the number of deadlines set within that time; one for each
+	// event would cost more.
+	renewals = 30
 )
 
 // writer encodes events for a caller. The head of the answer goes out with the
 // first chunk, so that until then another engine may still take over. It holds
 // no more than one event: when a caller reads slowly, the engine waits, and
-// after writeTimeout the caller is cut off.
+// after its timeout the caller is cut off.
 type writer struct {
 	w        http.ResponseWriter
 	control  *http.ResponseController
 	point    resume.Point
 	begun    bool
+	timeout  time.Duration
 	deadline time.Time
 	prefix   []byte
 	buffer   []byte
 }
 
-func newWriter(w http.ResponseWriter, j job.Job) *writer {
-	return &writer{w: w, control: http.NewResponseController(w), point: resume.Point{Digest: resume.Digest(j)}}
+func newWriter(w http.ResponseWriter, j job.Job, timeout time.Duration) *writer {
+	return &writer{w: w, timeout: timeout, control: http.NewResponseController(w), point: resume.Point{Digest: resume.Digest(j)}}
 }
 
 func (s *writer) event(event engine.Event) error {
@@ -90,10 +92,10 @@
 // in tests, has none.
 func (s *writer) renew() {
 	now := time.Now()
-	if s.deadline.Sub(now) > writeTimeout-renewal {
+	if s.deadline.Sub(now) > s.timeout-s.timeout/renewals {
 		return
 	}
-	s.deadline = now.Add(writeTimeout)
+	s.deadline = now.Add(s.timeout)
 	_ = s.control.SetWriteDeadline(s.deadline)
 }
 
