--- a/internal/target/remote/relay.go
+++ b/internal/target/remote/relay.go
@@ -51,6 +51,9 @@
 		if failing || bytes.HasPrefix(value, errorData) {
 			return c.failure(engine.Broken, effect.Unknown{Reason: "the engine reported an error"}, string(value[:min(len(value), maxMessage)]))
 		}
+		if bytes.IndexByte(value, '\r') >= 0 {
+			return c.failure(engine.Broken, effect.Unknown{Reason: "a chunk holds a line break"}, "carriage return in a chunk")
+		}
 		if bytes.Equal(value, endMarker) {
 			return finish(body, reader, sink(done))
 		}
