--- a/internal/tool/load/chat.go
+++ b/internal/tool/load/chat.go
@@ -64,7 +64,7 @@
 			return
 		case errors.Is(err, errTold):
 			return
-		case errors.Is(err, errSilent), errors.Is(err, errOrder), errors.Is(err, errContent):
+		case isSentinel(err):
 			r.tally.broken(err.Error())
 			return
 		case ctx.Err() != nil:
@@ -100,10 +100,20 @@
 	if p.next == 0 {
 		r.cached(response.Header, t)
 	}
+	read := r.readWhole
 	if t.stream {
-		return r.readStream(response.Body, p)
+		read = r.readStream
 	}
-	return r.readWhole(response.Body, p)
+	err = read(response.Body, p)
+	if err != nil && !isSentinel(err) {
+		r.tally.count("cuts")
+	}
+	return err
+}
+
+// isSentinel reports whether an answer, not its connection, went wrong.
+func isSentinel(err error) bool {
+	return errors.Is(err, errSilent) || errors.Is(err, errOrder) || errors.Is(err, errContent) || errors.Is(err, errTold)
 }
 
 func (r *Run) readWhole(body io.Reader, p *progress) error {
--- a/internal/tool/procs/plan_test.go
+++ b/internal/tool/procs/plan_test.go
@@ -62,7 +62,7 @@
 		counts[e.kind]++
 		for _, p := range s.strike(e) {
 			pending++
-			go func(ctx context.Context) { restarts <- restart(ctx, p) }(ctx)
+			go func(ctx context.Context, ended <-chan struct{}) { restarts <- restart(ctx, p, ended) }(ctx, p.end())
 		}
 	}
 	for range pending {
@@ -78,8 +78,13 @@
 	return counts
 }
 
-func restart(ctx context.Context, p *process) error {
+// restart starts a process again some time after it was struck, once the one
+// before has ended.
+func restart(ctx context.Context, p *process, ended <-chan struct{}) error {
 	time.Sleep(downTime)
+	<-ended
+	p.gate.Lock()
+	defer p.gate.Unlock()
 	if p.isRunning() {
 		return nil
 	}
--- a/internal/tool/procs/process_test.go
+++ b/internal/tool/procs/process_test.go
@@ -28,6 +28,8 @@
 	name string
 	args []string
 	path string
+	// gate lets one goroutine at a time start it again.
+	gate sync.Mutex
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -101,6 +103,13 @@
 	return p.ended
 }
 
+// end returns the channel that closes when the present process has ended.
+func (p *process) end() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ended
+}
+
 // kill ends the process without warning.
 func (p *process) kill() { <-p.signal(syscall.SIGKILL) }
 
--- a/internal/tool/procs/procs_test.go
+++ b/internal/tool/procs/procs_test.go
@@ -49,6 +49,29 @@
 	s.judge(t, report)
 }
 
+// TestPlannedStopCutsNothing stops one router after another, as an upgrade
+// does, and starts each again.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	n := chosen()
+	s := open(ctx, t, n.routers, n.engines)
+	options := s.options(n)
+	options.ServicePart, options.BurstEvery = 0, 0
+	run := load.New(options)
+	reports := make(chan load.Report)
+	go func(ctx context.Context) { reports <- run.Do(ctx, nil) }(ctx)
+	var events []event
+	for i := range n.routers {
+		events = append(events, event{at: time.Duration(i+1) * n.length / time.Duration(n.routers+2), kind: "stopRouter", who: i})
+	}
+	s.play(ctx, events, func(line string) { t.Log(line) })
+	report := <-reports
+	t.Logf("requests %v outcomes %v refusals %v", report.Requests, report.Outcomes, report.Refusals)
+	s.judge(t, report)
+	assert.Zero(t, report.Outcomes["cuts"], "answers that a planned stop cut")
+}
+
 func (s *scene) options(n size) load.Options {
 	options := load.Options{
 		Keys: []string{keyA, keyB}, Application: "assistant", Service: serviceName, Action: actionPath,
