--- a/cmd/cicadamill/serve.go
+++ b/cmd/cicadamill/serve.go
@@ -12,15 +12,17 @@
 	"github.com/cicadamill/cicadamill/internal/config/local"
 	"github.com/cicadamill/cicadamill/internal/node/server"
 	"github.com/cicadamill/cicadamill/internal/standin/embed"
+	"github.com/cicadamill/cicadamill/internal/watch/logs"
 )
 
 const defaultListen = "127.0.0.1:8080"
 
 // serveCommand runs a node.
 type serveCommand struct {
-	Embedded bool   `arg:"--embedded" help:"run with stand-ins of the platform, engines and a service in this process"`
-	Settings string `arg:"--settings" help:"file with this node's settings" placeholder:"FILE"`
-	Listen   string `arg:"--listen" help:"address for callers, as IP number and port; overrides the settings [default: 127.0.0.1:8080]" placeholder:"ADDRESS"`
+	Embedded  bool   `arg:"--embedded" help:"run with stand-ins of the platform, engines and a service in this process"`
+	Settings  string `arg:"--settings" help:"file with this node's settings" placeholder:"FILE"`
+	Operators string `arg:"--operators" default:"127.0.0.1:8082" help:"address for operators with --embedded" placeholder:"ADDRESS"`
+	Listen    string `arg:"--listen" help:"address for callers, as IP number and port; overrides the settings [default: 127.0.0.1:8080]" placeholder:"ADDRESS"`
 }
 
 // Run implements [command].
@@ -44,7 +46,11 @@
 	if c.Listen != "" {
 		settings.CallerAddress = c.Listen
 	}
-	return server.New(settings, newLogger()).Serve(ctx)
+	logger, err := logs.New(logs.Options{Name: settings.Name, Format: settings.Log.Format, Level: settings.Log.Level}, os.Stderr)
+	if err != nil {
+		return err
+	}
+	return server.New(settings, logger).Serve(ctx)
 }
 
 func (c *serveCommand) embedded(ctx context.Context, out io.Writer) error {
@@ -59,8 +65,9 @@
 	settings := local.Settings{
 		Name: "node-1", DataCentre: "local", CallerAddress: listen, TableAddress: site.TableAddress,
 		ObjectAddress: site.ObjectAddress, HostsAddress: site.HostsAddress, Bootstrap: site.Config,
+		OperatorAddress: c.Operators,
 	}
-	if _, err := io.WriteString(out, hint(listen)); err != nil {
+	if _, err := io.WriteString(out, hint(listen, c.Operators)); err != nil {
 		return err
 	}
 	return server.New(settings, newLogger()).Serve(ctx)
@@ -70,9 +77,10 @@
 	return hclog.New(&hclog.LoggerOptions{Name: "cicadamill", Level: hclog.Info})
 }
 
-func hint(address string) string {
+func hint(address, operators string) string {
 	return fmt.Sprintf(`Try:
   curl -N http://%s/v1/chat/completions -H "Authorization: Bearer %s" \
     -d '{"model":"assistant","stream":true,"messages":[{"role":"user","content":"What do posts cost?"}]}'
-`, address, embed.MembersKey)
+  curl http://%s/metrics
+`, address, embed.MembersKey, operators)
 }
--- /dev/null
+++ b/internal/node/server/listen.go
@@ -0,0 +1,58 @@
+package server
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"os"
+
+	"github.com/juju/errors"
+
+	"github.com/cicadamill/cicadamill/internal/config/certs"
+	"github.com/cicadamill/cicadamill/internal/config/local"
+	"github.com/cicadamill/cicadamill/internal/entry/limit"
+)
+
+// listen opens a listener, with TLS when key files are named.
+func (s *Server) listen(who, address string, files local.KeyFiles) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "opening the listener for %s", who)
+	}
+	if !files.Set() {
+		return limit.Listen(listener), nil
+	}
+	keys, err := s.keys(who, files)
+	if err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
+	return tls.NewListener(listener, keys.Server()), nil
+}
+
+// keys reads key files that are followed while the node runs.
+func (s *Server) keys(who string, files local.KeyFiles) (*certs.Files, error) {
+	failures := s.watch.scope().Counter("key_file_errors")
+	keys, err := certs.New(files, func(err error) {
+		failures.Inc(1)
+		s.logger.Error("new key files can't be used, the earlier ones stay", "for", who, "error", err)
+	})
+	return keys, errors.Annotatef(err, "reading the keys for %s", who)
+}
+
+// bootstrap applies the configuration from the settings, as version zero.
+func (s *Server) bootstrap(ctx context.Context) error {
+	text := []byte(s.settings.Bootstrap)
+	if s.settings.BootstrapFile != "" {
+		read, err := os.ReadFile(s.settings.BootstrapFile)
+		if err != nil {
+			return errors.Annotate(err, "reading the bootstrap configuration")
+		}
+		text = read
+	}
+	if len(text) == 0 {
+		s.logger.Warn("no bootstrap configuration: callers are refused until a peer or the table answers")
+		return nil
+	}
+	return errors.Annotate(s.Apply(ctx, 0, text), "applying the bootstrap configuration")
+}
