Bound the wait for an engine's word, and for a connection

An engine host that has gone without a word held a request for a minute and more: the dialer had no timeout and the limit to the first token covered the wait for the engine's word too. Now 1 s for a connection and 10 s for the word; the time to the first token keeps its own limit. The new table case fails without the limit.

--- a/internal/node/flow/attempt.go
+++ b/internal/node/flow/attempt.go
@@ -32,6 +32,7 @@
 	events  atomic.Int64
 	writing atomic.Bool
 	first   atomic.Bool
+	sent    atomic.Bool
 
 	// What follows belongs to the goroutine of Run.
 	seen     int64
@@ -97,6 +98,7 @@
 		return a.notRun(engine.Unreachable, "no such engine")
 	}
 	a.bringIn(client)
+	a.sent.Store(true)
 	return a.explain(client.Complete(a.ctx, a.call(), a.event))
 }
 
@@ -194,9 +196,19 @@
 		return false
 	}
 	a.idle += period
-	limit := a.life.runner.first
-	if a.first.Load() {
-		limit = a.life.runner.stall
+	return a.idle > a.limit()
+}
+
+// limit is how long the engine may say nothing now. A suspect that waits for
+// an engine of its own is not counted as waiting for the engine's word.
+func (a *attempt) limit() time.Duration {
+	r := a.life.runner
+	switch {
+	case a.first.Load():
+		return r.stall
+	case a.events.Load() > 0 || !a.sent.Load():
+		return r.first
+	default:
+		return r.head
 	}
-	return a.idle > limit
 }
--- a/internal/node/flow/flow.go
+++ b/internal/node/flow/flow.go
@@ -19,6 +19,7 @@
 )
 
 const (
+	defaultHead   = 10 * time.Second
 	defaultFirst  = time.Minute
 	defaultStall  = 10 * time.Second
 	cancelTimeout = 2 * time.Second
@@ -34,6 +35,7 @@
 	dial  func(target string) (engine.Client, bool)
 	guard *guard.Guard
 	scope tally.Scope
+	head  time.Duration
 	first time.Duration
 	stall time.Duration
 }
@@ -48,6 +50,9 @@
 // WithScope sets where counters go.
 func WithScope(scope tally.Scope) Option { return func(r *Runner) { r.scope = scope } }
 
+// WithHead bounds the time until an engine says that it took an attempt.
+func WithHead(d time.Duration) Option { return func(r *Runner) { r.head = d } }
+
 // WithFirst bounds the time to the first token of an attempt.
 func WithFirst(d time.Duration) Option { return func(r *Runner) { r.first = d } }
 
@@ -59,7 +64,7 @@
 //	runner := flow.New(cellLoop, clients.Find, flow.WithStall(5*time.Second))
 //	err := runner.Run(ctx, request, sink)
 func New(l *loop.Loop, dial func(target string) (engine.Client, bool), options ...Option) *Runner {
-	r := &Runner{loop: l, dial: dial, scope: tally.NoopScope, first: defaultFirst, stall: defaultStall}
+	r := &Runner{loop: l, dial: dial, scope: tally.NoopScope, head: defaultHead, first: defaultFirst, stall: defaultStall}
 	for _, option := range options {
 		option(r)
 	}
@@ -69,6 +74,9 @@
 	return r
 }
 
+// period is the time between two looks at the attempts of a request.
+func (r *Runner) period() time.Duration { return min(r.head, r.first, r.stall) / stallChecks }
+
 // Run answers a request. Events reach sink in order, each once, from one
 // goroutine at a time; [engine.Accepted] comes right before the first chunk. A
 // failure is a [*fault.Error], or the error of sink, which ends the request.
--- a/internal/node/flow/flow_test.go
+++ b/internal/node/flow/flow_test.go
@@ -52,6 +52,12 @@
 		"stalls before the first chunk": {
 			scripts: [][]step{{accept("1"), pause(time.Hour)}}, offsets: []int{0, 0}, chunks: 5, counts: map[string]int64{"stalls": 1, "cancels": 1},
 		},
+		"takes the call, then is silent": {
+			scripts: [][]step{{accept("1"), pause(19 * time.Second), token(0), token(1), token(2), token(3), token(4), done{}}}, offsets: []int{0}, chunks: 5, counts: map[string]int64{"stalls": 0},
+		},
+		"does not take the call": {
+			scripts: [][]step{{pause(10 * time.Second), accept("1")}}, offsets: []int{0, 0}, chunks: 5, counts: map[string]int64{"stalls": 1},
+		},
 		"slow but alive": {
 			scripts: [][]step{{accept("1"), pause(15 * time.Second), token(0), second, token(1), second, token(2), second, token(3), second, token(4), done{}}},
 			offsets: []int{0}, chunks: 5, counts: map[string]int64{"stalls": 0},
--- a/internal/node/flow/life.go
+++ b/internal/node/flow/life.go
@@ -51,7 +51,7 @@
 func newLife(r *Runner, j job.Job, sink func(engine.Event) error) *life {
 	return &life{
 		runner: r, job: j, sink: sink, stream: stream.From(j.WeightVersion, j.Offset),
-		ticker: time.NewTicker(min(r.stall, r.first) / stallChecks),
+		ticker: time.NewTicker(r.period()),
 		ends:   make(chan end), running: map[int]*attempt{},
 	}
 }
@@ -223,7 +223,7 @@
 // goroutines. A caller that reads slowly is not the engine's fault.
 func (l *life) watch(ctx context.Context) {
 	for _, a := range l.running {
-		if a.isStalled(min(l.runner.stall, l.runner.first) / stallChecks) {
+		if a.isStalled(l.runner.period()) {
 			l.runner.scope.Counter("stalls").Inc(1)
 			a.stop(errStalled)
 			l.ended(ctx, end{attempt: a, failure: a.explain(errStalled)})
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -61,7 +61,7 @@
 		logger:   logger,
 		applied:  live.New(),
 		ready:    make(chan Addresses, 1),
-		http:     &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: idleTimeout}},
+		http:     engineClient(),
 	}
 	s.watch = newWatch(logger)
 	s.streams = newStreams(s.watch)
--- a/internal/node/server/stream.go
+++ b/internal/node/server/stream.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
+	"time"
 
 	"github.com/cicadamill/cicadamill/internal/entry/front"
 	"github.com/cicadamill/cicadamill/internal/node/flow"
@@ -11,6 +14,11 @@
 	"github.com/cicadamill/cicadamill/internal/safety/crash"
 )
 
+const (
+	engineDialTimeout = time.Second
+	engineConnections = 64
+)
+
 // streams are the parts of a node that keep streams whole.
 type streams struct {
 	guard *guard.Guard
@@ -28,6 +36,15 @@
 	}
 }
 
+// engineClient connects to engines. A host that has gone without a word must
+// not hold a request for the system's own minutes.
+func engineClient() *http.Client {
+	dialer := &net.Dialer{Timeout: engineDialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: engineConnections, IdleConnTimeout: idleTimeout, DisableCompression: true,
+	}}
+}
+
 // poller reads the engines' reports for the cell and the guard.
 func (s *Server) poller() *poll.Poller {
 	tell := func(ctx context.Context, message cell.Message) {
--- a/internal/target/remote/remote.go
+++ b/internal/target/remote/remote.go
@@ -56,6 +56,7 @@
 func setCallHeaders(header http.Header, call engine.Call) {
 	header.Set("Content-Type", "application/json")
 	header.Set("Accept", "text/event-stream")
+	header.Set("Accept-Encoding", "identity")
 	header.Set("X-Attempt", call.Attempt)
 	header.Set("X-Workspace", call.Workspace)
 	header.Set("X-Priority", strconv.Itoa(call.Priority))
