--- a/internal/node/flow/flow.go
+++ b/internal/node/flow/flow.go
@@ -38,6 +38,7 @@
 	head  time.Duration
 	first time.Duration
 	stall time.Duration
+	gate  func(target, incarnation string) bool
 }
 
 // Option changes a [Runner].
@@ -53,6 +54,12 @@
 // WithHead bounds the time until an engine says that it took an attempt.
 func WithHead(d time.Duration) Option { return func(r *Runner) { r.head = d } }
 
+// WithGate sets what is asked right before a call leaves: whether the target may
+// get no new work.
+func WithGate(isLeaving func(target, incarnation string) bool) Option {
+	return func(r *Runner) { r.gate = isLeaving }
+}
+
 // WithFirst bounds the time to the first token of an attempt.
 func WithFirst(d time.Duration) Option { return func(r *Runner) { r.first = d } }
 
