Give a reconnected caller its event IDs over a hop

The test of real processes found streams whose events had no ID: for a caller that went on after a break, the hop took the engine's first word for a repetition and dropped it, and the writer took the IDs' beginning from that word. The hop now counts from the caller's offset, and the writer begins with the weights that the request names.

--- a/internal/entry/front/stream_test.go
+++ b/internal/entry/front/stream_test.go
@@ -28,12 +28,13 @@
 	chunks []string
 	err    error
 	jobs   chan job.Job
+	silent bool
 }
 
 func (s script) Run(_ context.Context, j job.Job, sink func(engine.Event) error) error {
 	s.jobs <- j
 	for offset, chunk := range s.chunks {
-		if offset == 0 {
+		if offset == 0 && !s.silent {
 			if err := sink(engine.Accepted{Engine: "e", WeightVersion: "1"}); err != nil {
 				return err
 			}
@@ -109,6 +110,12 @@
 	}
 }
 
+func TestEventsHaveIDsWhoeverAnswers(t *testing.T) {
+	_, named := post(t, serve(t, script{chunks: []string{`{}`}, jobs: make(chan job.Job, 1)}), streamed, "")
+	_, unnamed := post(t, serve(t, script{chunks: []string{`{}`}, jobs: make(chan job.Job, 1), silent: true}), streamed, "")
+	assert.Equal(t, named, unnamed)
+}
+
 func TestReconnect(t *testing.T) {
 	first := serve(t, script{chunks: []string{`{}`, `{}`, `{}`}, jobs: make(chan job.Job, 1)})
 	_, answer := post(t, first, streamed, "")
--- a/internal/entry/front/writer.go
+++ b/internal/entry/front/writer.go
@@ -35,7 +35,10 @@
 }
 
 func newWriter(w http.ResponseWriter, j job.Job, timeout time.Duration) *writer {
-	return &writer{w: w, timeout: timeout, control: http.NewResponseController(w), point: resume.Point{Digest: resume.Digest(j)}}
+	s := &writer{w: w, timeout: timeout, control: http.NewResponseController(w)}
+	s.point = resume.Point{WeightVersion: j.WeightVersion, Digest: resume.Digest(j)}
+	s.name(j.WeightVersion)
+	return s
 }
 
 func (s *writer) event(event engine.Event) error {
@@ -56,7 +59,12 @@
 	if !s.begun {
 		setAnswerHeaders(s.w.Header(), e)
 	}
-	s.point.WeightVersion = e.WeightVersion
+	s.name(e.WeightVersion)
+}
+
+// name sets what the event IDs begin with.
+func (s *writer) name(weightVersion string) {
+	s.point.WeightVersion = weightVersion
 	s.prefix = s.point.AppendPrefix(append(s.prefix[:0], "id: "...))
 }
 
--- a/internal/node/steer/steer_test.go
+++ b/internal/node/steer/steer_test.go
@@ -238,3 +238,16 @@
 		}
 	})
 }
+
+// TestReconnectedCallerHearsOfItsEngine has a caller that goes on after two
+// chunks: the first word of the engine is still news to it.
+func TestReconnectedCallerHearsOfItsEngine(t *testing.T) {
+	w := &world{homes: []steer.Home{{Name: "a", Address: "a"}}, cells: 1}
+	var events []string
+	s := steer.New(w, remote{w}, w, tally.NoopScope)
+	require.NoError(t, s.Run(context.Background(), job.Job{ID: "j", WeightVersion: "1", Offset: 2}, func(event engine.Event) error {
+		events = append(events, fmt.Sprintf("%T", event))
+		return nil
+	}))
+	assert.Equal(t, []string{"engine.Accepted", "engine.Token", "engine.Token", "engine.Done"}, events)
+}
--- a/internal/node/steer/trip.go
+++ b/internal/node/steer/trip.go
@@ -113,7 +113,7 @@
 	case stream.Fail:
 		return &hop.LostError{Outcome: effect.Unknown{Reason: v.Reason}, Cause: errors.New(v.Reason)}
 	}
-	begun := t.stream.Next() > 0
+	begun := t.stream.Next() > t.job.Offset
 	t.stream = next
 	if _, ok := event.(engine.Accepted); ok && begun {
 		return nil
