--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 	"github.com/zeebo/xxh3"
@@ -26,8 +27,6 @@
 	"github.com/cicadamill/cicadamill/internal/target/engine"
 )
 
-const maxBodyBytes = 8 << 20
-
 // Runner answers a request; events reach sink in order.
 type Runner interface {
 	Run(ctx context.Context, j job.Job, sink func(engine.Event) error) error
@@ -39,7 +38,9 @@
 	config func() site.Config
 	runner Runner
 	scope  tally.Scope
+	write  time.Duration
 	mux    *http.ServeMux
+	keys   auth.Cache
 }
 
 // Option changes a [Handler].
@@ -48,11 +49,16 @@
 // WithScope sets where counters go.
 func WithScope(scope tally.Scope) Option { return func(h *Handler) { h.scope = scope } }
 
-// New returns a handler. The function config returns the configuration in force.
+// WithWriteTimeout bounds how long a caller may take no byte of a stream while
+// some are due.
+func WithWriteTimeout(d time.Duration) Option { return func(h *Handler) { h.write = d } }
+
+// New returns a handler. The function config returns the configuration in
+// force. The server around it bounds the bodies, see package limit.
 //
 //	handler := front.New("node-1", applied.Config, runner)
 func New(node string, config func() site.Config, runner Runner, options ...Option) *Handler {
-	h := &Handler{node: node, config: config, runner: runner, scope: tally.NoopScope, mux: http.NewServeMux()}
+	h := &Handler{node: node, config: config, runner: runner, scope: tally.NoopScope, write: defaultWrite, mux: http.NewServeMux()}
 	for _, option := range options {
 		option(h)
 	}
@@ -66,12 +72,12 @@
 
 func (h *Handler) serveChat(w http.ResponseWriter, r *http.Request) {
 	config := h.config()
-	workspace, ok := auth.New(config).Workspace(r.Header)
+	workspace, ok := h.keys.Of(config).Workspace(r.Header)
 	if !ok {
 		fault.Write(w, unauthorized())
 		return
 	}
-	request, err := readChat(w, r)
+	request, err := readChat(r)
 	if err != nil {
 		fault.Write(w, err)
 		return
@@ -94,11 +100,11 @@
 	h.whole(w, r, j)
 }
 
-func readChat(w http.ResponseWriter, r *http.Request) (chat.Request, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return chat.Request{}, &fault.Error{Code: "bodyTooLarge", Status: http.StatusRequestEntityTooLarge, Outcome: effect.NotRun{}, Message: "the body is larger than " + strconv.Itoa(maxBodyBytes) + " bytes"}
+func readChat(r *http.Request) (chat.Request, error) {
+	body, err := io.ReadAll(r.Body)
+	var limit *fault.Error
+	if errors.As(err, &limit) {
+		return chat.Request{}, limit
 	}
 	if err != nil {
 		return chat.Request{}, &fault.Error{Code: "bodyUnread", Status: http.StatusBadRequest, Outcome: effect.NotRun{}, Message: "the body could not be read"}
@@ -183,7 +189,7 @@
 }
 
 func (h *Handler) serveModels(w http.ResponseWriter, r *http.Request) {
-	workspace, ok := auth.New(h.config()).Workspace(r.Header)
+	workspace, ok := h.keys.Of(h.config()).Workspace(r.Header)
 	if !ok {
 		fault.Write(w, unauthorized())
 		return
--- a/internal/node/server/stream.go
+++ b/internal/node/server/stream.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
+	"time"
 
 	"github.com/cicadamill/cicadamill/internal/entry/front"
 	"github.com/cicadamill/cicadamill/internal/node/flow"
@@ -11,6 +14,11 @@
 	"github.com/cicadamill/cicadamill/internal/safety/crash"
 )
 
+const (
+	engineDialTimeout = time.Second
+	engineConnections = 64
+)
+
 // streams are the parts of a node that keep streams whole.
 type streams struct {
 	guard *guard.Guard
@@ -28,22 +36,23 @@
 	}
 }
 
+// engineClient connects to engines. A host that has gone without a word must
+// not hold a request for the system's own minutes.
+func engineClient() *http.Client {
+	dialer := &net.Dialer{Timeout: engineDialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: engineConnections, IdleConnTimeout: idleTimeout, DisableCompression: true,
+	}}
+}
+
 // poller reads the engines' reports for the cell and the guard.
 func (s *Server) poller() *poll.Poller {
-	tell := func(ctx context.Context, message cell.Message) {
+	tell := func(ctx context.Context, target string, message cell.Message) {
 		if m, ok := message.(cell.Reported); ok {
 			s.streams.guard.Tell(crash.Seen{Target: m.Target, Incarnation: m.Load.Incarnation})
+			s.fleet.saw(m.Target, m.Load)
 		}
-		_ = s.loop.Send(ctx, message)
-	}
-	return poll.New(s.engineNames, s.dial, tell, s.watch.scope().SubScope("stream"))
-}
-
-func (s *Server) engineNames() []string {
-	config := s.applied.Config()
-	names := make([]string, 0, len(config.Engines))
-	for _, e := range config.Engines {
-		names = append(names, e.Name)
+		s.cells.Tell(ctx, target, message)
 	}
-	return names
+	return poll.New(s.cells.Engines, s.dial, tell, s.watch.scope().SubScope("stream"))
 }
