--- a/internal/route/cell/state_test.go
+++ b/internal/route/cell/state_test.go
@@ -30,7 +30,7 @@
 	}
 	bed := newBedWith(0, m)
 	for i := range engines * blocks / 2 {
-		bed.serve(prompt(i%16, i))
+		bed.serve(prompt(i%997, i))
 	}
 	bed.commands = nil
 	after := heap()
