Pass on the changes that came from a peer, and state the cost of metrics

A node that got a change from a peer compared the two whole configurations again before passing it on. It now keeps what it got.

--- a/internal/config/sync/message.go
+++ b/internal/config/sync/message.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"github.com/cicadamill/cicadamill/internal/config/delta"
 	"github.com/cicadamill/cicadamill/internal/config/site"
 )
 
@@ -45,6 +46,8 @@
 	Sum string
 	// Config is its content.
 	Config site.Config
+	// Changes lead to it from the version in force, when they are known.
+	Changes []delta.Change
 	// From is the peer that it came from; empty means none.
 	From string
 	// Fetched is true when it answers a fetch.
@@ -95,6 +98,8 @@
 	Sum string
 	// Config is its content.
 	Config site.Config
+	// Changes lead to it from the version in force, when they are known.
+	Changes []delta.Change
 }
 
 // Tell tells peers which version is in force here.
--- a/internal/config/sync/sync.go
+++ b/internal/config/sync/sync.go
@@ -183,7 +183,7 @@
 	}
 	s.version, s.sum = m.Version, m.Sum
 	s = s.forget()
-	commands := []Command{Apply{Version: m.Version, Sum: m.Sum, Config: m.Config}}
+	commands := []Command{Apply{Version: m.Version, Sum: m.Sum, Config: m.Config, Changes: m.Changes}}
 	if peers := s.pick(m.From); len(peers) > 0 {
 		commands = append(commands, Tell{Peers: peers, Version: m.Version})
 	}
--- a/internal/node/follow/run.go
+++ b/internal/node/follow/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/juju/errors"
 
@@ -71,7 +72,7 @@
 		}
 		config, err := answer.Build(f.current())
 		if err == nil {
-			return sync.Offered{Version: answer.Version, Sum: answer.Sum, Config: config, From: c.Peer, Fetched: true}, nil
+			return sync.Offered{Version: answer.Version, Sum: answer.Sum, Config: config, Changes: answer.Changes, From: c.Peer, Fetched: true}, nil
 		}
 		f.options.Scope.Counter("config_sum_errors").Inc(1)
 	}
@@ -124,20 +125,25 @@
 }
 
 // remember keeps how to get here from the version before, for peers that stand
-// there. The chain has a bound and no gap.
+// there. The chain has a bound and no gap: what does not follow on the version
+// in force is compared with it.
 func (f *Follower) remember(c sync.Apply) {
 	f.mu.Lock()
-	before, sum := f.config, f.sum
+	before, sum, last := f.config, f.sum, f.last
 	f.mu.Unlock()
-	change := delta.Between(0, before, c.Config)
+	changes := c.Changes
+	if sum != "" && (len(changes) == 0 || changes[0].Base != last) {
+		change := delta.Between(last, before, c.Config)
+		change.Version = c.Version
+		changes = []delta.Change{change}
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if sum != "" {
-		change.Base, change.Version = f.last, c.Version
-		f.changes = append(f.changes[max(0, len(f.changes)-maxChanges+1):], change)
+		f.changes = append(f.changes, changes...)
+		f.changes = slices.Clone(f.changes[max(0, len(f.changes)-maxChanges):])
 	}
-	f.config, f.sum = c.Config, c.Sum
-	f.last = c.Version
+	f.config, f.sum, f.last = c.Config, c.Sum, c.Version
 }
 
 func (f *Follower) warn(flag sync.Flag) {
--- /dev/null
+++ b/internal/watch/calls/series_test.go
@@ -0,0 +1,73 @@
+package calls_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/cicadamill/cicadamill/internal/route/job"
+	"github.com/cicadamill/cicadamill/internal/target/engine"
+	"github.com/cicadamill/cicadamill/internal/watch/calls"
+	"github.com/cicadamill/cicadamill/internal/watch/label"
+	"github.com/cicadamill/cicadamill/internal/watch/meter"
+)
+
+// BenchmarkSeries states the memory and the length of the scrape page for each
+// workspace that has a label, and the time of a scrape.
+func BenchmarkSeries(b *testing.B) {
+	const workspaces = 256
+	names := make([]string, workspaces)
+	for i := range names {
+		names[i] = fmt.Sprintf("workspace-%04d", i)
+	}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	m := meter.New(time.Hour, hclog.NewNullLogger())
+	labels := label.New(workspaces)
+	labels.Rank(names)
+	runner := calls.New(script{}, m.Scope(), labels)
+	for _, name := range names {
+		_ = runner.Run(context.Background(), job.Job{Workspace: name}, func(engine.Event) error { return nil })
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	_ = m.Close()
+	var page string
+	for b.Loop() {
+		recorder := httptest.NewRecorder()
+		m.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+		page = recorder.Body.String()
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/workspaces, "heap-bytes/workspace")
+	b.ReportMetric(float64(strings.Count(page, "\ncicadamill"))/workspaces, "series/workspace")
+	b.ReportMetric(float64(len(page))/workspaces, "page-bytes/workspace")
+	runtime.KeepAlive(runner)
+}
+
+// BenchmarkRun states what measuring adds to each event of an answer.
+func BenchmarkRun(b *testing.B) {
+	m := meter.New(time.Hour, hclog.NewNullLogger())
+	labels := label.New(1)
+	labels.Rank([]string{"members"})
+	runner := calls.New(endless{b}, m.Scope(), labels)
+	b.ReportAllocs()
+	_ = runner.Run(context.Background(), job.Job{Workspace: "members"}, func(engine.Event) error { return nil })
+}
+
+// endless sends as many tokens as the benchmark wants.
+type endless struct{ b *testing.B }
+
+func (e endless) Run(_ context.Context, _ job.Job, sink func(engine.Event) error) error {
+	for e.b.Loop() {
+		_ = sink(engine.Token{})
+	}
+	return nil
+}
