--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -68,9 +68,22 @@
 //	follower := follow.New(options)
 //	supervisor.Add(follower)
 func New(options Options) *Follower {
+	register(options.Scope)
 	return &Follower{options: options, inbox: make(chan sync.Message, inboxLength), state: sync.New(options.Seed)}
 }
 
+// register makes every metric visible before anything happens.
+func register(scope tally.Scope) {
+	for _, name := range []string{
+		"config_applied", "config_fetch_errors", "config_head_read_errors", "config_head_reads", "config_hint_errors",
+		"config_messages_dropped", "config_peer_fetches", "config_sum_errors", "config_table_fetches",
+	} {
+		scope.Counter(name)
+	}
+	scope.Gauge("config_flag").Update(0)
+	scope.Gauge("config_version").Update(0)
+}
+
 // Serve runs until the context ends. After a panic the supervisor calls it
 // again; what was in force stays so.
 func (f *Follower) Serve(ctx context.Context) error {
--- a/internal/node/server/listen.go
+++ b/internal/node/server/listen.go
@@ -32,7 +32,7 @@
 
 // keys reads key files that are followed while the node runs.
 func (s *Server) keys(who string, files local.KeyFiles) (*certs.Files, error) {
-	failures := s.watch.scope().Counter("key_file_errors")
+	failures := s.watch.scope().Counter(keyFileErrors)
 	keys, err := certs.New(files, func(err error) {
 		failures.Inc(1)
 		s.logger.Error("new key files can't be used, the earlier ones stay", "for", who, "error", err)
--- /dev/null
+++ b/internal/node/server/metrics_test.go
@@ -0,0 +1,95 @@
+package server_test
+
+import (
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadamill/cicadamill/internal/config/admin"
+	"github.com/cicadamill/cicadamill/internal/standin/embed"
+)
+
+// pages maps the operators' pages to the prefixes of the metrics that they
+// explain. The page on nodes and configuration has all the others.
+var pages = map[string][]string{
+	"stream.md":  {"stream_"},
+	"fleet.md":   {"fleet_"},
+	"effects.md": {"effects_", "ledger_", "service_", "target_failures", "orders_", "order_"},
+}
+
+const mainPage = "config.md"
+
+// reportPause is longer than the interval in which values reach the page.
+const reportPause = 3 * time.Second
+
+// scraped returns the names on the metrics page of a node that has answered
+// and refused some requests, without the common prefix.
+func scraped(t *testing.T) map[string]bool {
+	t.Helper()
+	first, _, text := pair(t)
+	_, _ = ask(t, first.Caller, embed.MembersKey, "What do posts cost?", true)
+	_, _ = ask(t, first.Caller, "wrong", "What do posts cost?", true)
+	_, err := client(first.Operator).Submit(t.Context(), admin.Submission{Nonce: "n", Text: "{}"})
+	require.Error(t, err)
+	_, err = client(first.Operator).Submit(t.Context(), admin.Submission{Nonce: "m", Text: text})
+	require.NoError(t, err)
+	names := map[string]bool{}
+	require.Eventually(t, func() bool {
+		status, page := get(t, first.Operator, "/metrics")
+		require.Equal(t, http.StatusOK, status)
+		for _, match := range regexp.MustCompile(`(?m)^# TYPE cicadamill_(\w+) `).FindAllStringSubmatch(page, -1) {
+			names[match[1]] = true
+		}
+		return names["refusals"] && names["config_submissions_refused"]
+	}, reportPause, 50*time.Millisecond)
+	return names
+}
+
+// documented returns the metrics that the tables of a page explain.
+func documented(t *testing.T, page string) map[string]bool {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join("../../../docs/operations", page))
+	require.NoError(t, err)
+	names := map[string]bool{}
+	for line := range strings.Lines(string(text)) {
+		cells := strings.Split(line, "|")
+		if len(cells) < 4 {
+			continue
+		}
+		for _, match := range regexp.MustCompile("`(\\w+)(?:\\{[^`]*\\})?`").FindAllStringSubmatch(cells[1], -1) {
+			names[match[1]] = true
+		}
+	}
+	return names
+}
+
+// pageOf returns the page that explains a metric.
+func pageOf(name string) string {
+	for page, prefixes := range pages {
+		for _, prefix := range prefixes {
+			if strings.HasPrefix(name, prefix) {
+				return page
+			}
+		}
+	}
+	return mainPage
+}
+
+func TestMetricsAndTheirPageAgree(t *testing.T) {
+	names, explained := scraped(t), documented(t, mainPage)
+	for name := range names {
+		if pageOf(name) == mainPage {
+			assert.True(t, explained[name], "%s is scraped and not explained in %s", name, mainPage)
+		}
+	}
+	for name := range explained {
+		assert.True(t, names[name], "%s is explained in %s and not scraped", name, mainPage)
+	}
+}
--- a/internal/node/server/operate.go
+++ b/internal/node/server/operate.go
@@ -47,7 +47,7 @@
 		refuse(w, statusOf(err), refusalOf(err))
 		return
 	}
-	o.server.watch.scope().Counter("config_submissions_accepted").Inc(1)
+	o.server.watch.scope().Counter(submissionsAccepted).Inc(1)
 	o.server.logger.Info("configuration accepted", "version", version, "author", submission.Author)
 	answer(w, admin.Accepted{Version: version})
 }
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -144,6 +144,7 @@
 }
 
 func (s *Server) supervised(event suture.Event) {
+	s.watch.scope().Counter(partFailures).Inc(1)
 	s.logger.Warn("supervised part", "event", event.String())
 }
 
--- a/internal/node/server/watch.go
+++ b/internal/node/server/watch.go
@@ -24,6 +24,13 @@
 	labelledWorkspaces = 32
 )
 
+// The counters of this package that are there before anything happens.
+const (
+	keyFileErrors       = "key_file_errors"
+	partFailures        = "part_failures"
+	submissionsAccepted = "config_submissions_accepted"
+)
+
 // watch is what a node shows of itself: metrics, health and readiness.
 type watch struct {
 	calls  *calls.Runner
@@ -33,8 +40,12 @@
 }
 
 func newWatch(logger hclog.Logger) watch {
+	root := meter.New(reportInterval, logger)
+	for _, name := range []string{keyFileErrors, partFailures, submissionsAccepted} {
+		root.Scope().Counter(name)
+	}
 	return watch{
-		meter:  meter.New(reportInterval, logger),
+		meter:  root,
 		labels: label.New(labelledWorkspaces),
 		health: health.New(),
 	}
--- a/internal/watch/calls/calls.go
+++ b/internal/watch/calls/calls.go
@@ -42,7 +42,9 @@
 //
 //	runner := calls.New(flow.New(loop, dial), meter.Scope(), labels)
 func New(next front.Runner, scope tally.Scope, labels *label.Set) *Runner {
-	return &Runner{next: next, scope: scope, labels: labels, codes: label.New(maxCodes), memory: newMemory()}
+	r := &Runner{next: next, scope: scope, labels: labels, codes: label.New(maxCodes), memory: newMemory()}
+	r.broken("callerGone") // So that the name is visible before anything breaks.
+	return r
 }
 
 // Run implements [front.Runner].
@@ -56,8 +58,7 @@
 	group.total.RecordDuration(time.Since(w.begun))
 	group.outcome(err).Inc(1)
 	if err != nil && w.tokens > 0 {
-		code := r.codes.Admit(fault.From(err).Code)
-		r.scope.Tagged(map[string]string{"code": code}).Counter("streams_broken").Inc(1)
+		r.broken(fault.From(err).Code).Inc(1)
 	}
 	if w.accepted {
 		r.memory.learn(j)
@@ -65,6 +66,11 @@
 	return err
 }
 
+// broken returns the counter of answers that ended after they had begun.
+func (r *Runner) broken(code string) tally.Counter {
+	return r.scope.Tagged(map[string]string{"code": r.codes.Admit(code)}).Counter("streams_broken")
+}
+
 func (r *Runner) group(j job.Job) *group {
 	key := groupKey{workspace: r.labels.Label(j.Workspace), class: interactive}
 	if j.Class == batch {
