--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -113,6 +113,7 @@
 	s.fleet.add(supervisor)
 	supervisor.Add(s.streams.guard)
 	supervisor.Add(s.poller())
+	supervisor.Add(s.giver())
 	if operators != nil {
 		supervisor.Add(operators)
 	}
