--- a/internal/config/certs/certs_test.go
+++ b/internal/config/certs/certs_test.go
@@ -1,17 +1,9 @@
 package certs_test
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
 	"net"
 	"os"
-	"path/filepath"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,52 +13,21 @@
 
 	"github.com/cicadamill/cicadamill/internal/config/certs"
 	"github.com/cicadamill/cicadamill/internal/config/local"
+	"github.com/cicadamill/cicadamill/internal/standin/pki"
 )
 
-// authority signs certificates for tests.
-type authority struct {
-	t    *testing.T
-	key  *ecdsa.PrivateKey
-	cert *x509.Certificate
-}
-
-func newAuthority(t *testing.T) authority {
+func newAuthority(t *testing.T) *pki.Authority {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	authority, err := pki.New()
 	require.NoError(t, err)
-	cert := template(1)
-	cert.IsCA, cert.BasicConstraintsValid = true, true
-	return authority{t: t, key: key, cert: cert}
-}
-
-func template(serial int64) *x509.Certificate {
-	return &x509.Certificate{
-		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: "test"},
-		NotBefore: time.Unix(0, 0), NotAfter: time.Unix(1<<33, 0),
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
+	return authority
 }
 
 // write puts a new certificate with this serial number into the directory.
-func (a authority) write(directory string, serial int64) local.KeyFiles {
-	a.t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	require.NoError(a.t, err)
-	signed, err := x509.CreateCertificate(rand.Reader, template(serial), a.cert, key.Public(), a.key)
-	require.NoError(a.t, err)
-	root, err := x509.CreateCertificate(rand.Reader, a.cert, a.cert, a.key.Public(), a.key)
-	require.NoError(a.t, err)
-	encoded, err := x509.MarshalPKCS8PrivateKey(key)
-	require.NoError(a.t, err)
-	files := local.KeyFiles{
-		CertFile: filepath.Join(directory, "cert.pem"), KeyFile: filepath.Join(directory, "key.pem"), CAFile: filepath.Join(directory, "ca.pem"),
-	}
-	for name, block := range map[string]*pem.Block{
-		files.CertFile: {Type: "CERTIFICATE", Bytes: signed}, files.CAFile: {Type: "CERTIFICATE", Bytes: root},
-		files.KeyFile: {Type: "PRIVATE KEY", Bytes: encoded},
-	} {
-		require.NoError(a.t, os.WriteFile(name, pem.EncodeToMemory(block), 0o600))
-	}
+func write(t *testing.T, a *pki.Authority, directory string, serial int64) local.KeyFiles {
+	t.Helper()
+	files, err := a.Write(directory, serial)
+	require.NoError(t, err)
 	return files
 }
 
@@ -105,8 +66,8 @@
 
 func TestBothSidesMustShowACertificate(t *testing.T) {
 	ours, theirs := newAuthority(t), newAuthority(t)
-	node := open(t, ours.write(t.TempDir(), 7), nil)
-	stranger := open(t, theirs.write(t.TempDir(), 8), nil)
+	node := open(t, write(t, ours, t.TempDir(), 7), nil)
+	stranger := open(t, write(t, theirs, t.TempDir(), 8), nil)
 	serial, err := handshake(t, node.Server(), node.Client())
 	require.NoError(t, err)
 	assert.EqualValues(t, 7, serial)
@@ -123,11 +84,11 @@
 func TestFilesAreFollowed(t *testing.T) {
 	a := newAuthority(t)
 	directory := t.TempDir()
-	names := a.write(directory, 7)
 	synctest.Test(t, func(t *testing.T) {
+		names := write(t, a, directory, 7)
 		var warnings []error
 		files := open(t, names, func(err error) { warnings = append(warnings, err) })
-		a.write(directory, 8)
+		write(t, a, directory, 8)
 		time.Sleep(time.Second)
 		serial, err := handshake(t, files.Server(), files.Client())
 		require.NoError(t, err)
@@ -144,7 +105,7 @@
 }
 
 func TestBadFiles(t *testing.T) {
-	names := newAuthority(t).write(t.TempDir(), 7)
+	names := write(t, newAuthority(t), t.TempDir(), 7)
 	missing, empty := names, names
 	missing.CertFile += ".missing"
 	empty.CAFile = names.KeyFile
