Keep the cells when a change concerns workspaces only

Each change of the configuration grouped all engines into cells again, on every node. Changes between nodes leave lists that did not change as they are in memory, so that the cells can be kept when engines, applications and regions are the same lists.

A change of engines still groups again.

--- a/internal/node/cells/cells.go
+++ b/internal/node/cells/cells.go
@@ -105,7 +105,7 @@
 // more gets no new work; what runs on it ends in peace.
 func (s *Set) Apply(ctx context.Context, config site.Config) {
 	s.mu.Lock()
-	s.groups = group.New(config)
+	s.groups = s.groups.With(config)
 	s.byID = map[string]group.Cell{}
 	for _, c := range s.groups.Cells() {
 		s.byID[c.ID] = c
--- a/internal/route/group/group.go
+++ b/internal/route/group/group.go
@@ -49,6 +49,7 @@
 	regions map[string]string
 	shares  map[string]float64
 	total   map[string]float64
+	config  site.Config
 }
 
 // New computes the cells of a configuration.
@@ -58,16 +59,8 @@
 //		home := homeOf(cell.ID)
 //	}
 func New(config site.Config) Groups {
-	g := Groups{
-		serving: map[string][]int{}, regions: regions(config),
-		shares: map[string]float64{}, total: map[string]float64{},
-	}
-	for _, w := range config.Workspaces {
-		g.shares[w.Name] = positive(w.Share)
-		for _, application := range w.Applications {
-			g.total[application] += positive(w.Share)
-		}
-	}
+	g := Groups{serving: map[string][]int{}, regions: regions(config)}
+	g.share(config)
 	g.cells = split(config, g.regions)
 	for i, cell := range g.cells {
 		g.targets = append(g.targets, place.Target{Name: cell.ID, Hash: place.Hash(cell.ID), Weight: cell.Capacity})
@@ -78,6 +71,34 @@
 	return g
 }
 
+// With computes the cells of the next configuration. It is like [New], and
+// keeps the cells when the lists that they come from are the same in memory, as
+// they are after a change that concerns workspaces only.
+func (g Groups) With(config site.Config) Groups {
+	if !same(g.config.Engines, config.Engines) || !same(g.config.Applications, config.Applications) || !same(g.config.Regions, config.Regions) {
+		return New(config)
+	}
+	g.share(config)
+	return g
+}
+
+// share takes over what workspaces there are.
+func (g *Groups) share(config site.Config) {
+	g.config, g.shares, g.total = config, map[string]float64{}, map[string]float64{}
+	for _, w := range config.Workspaces {
+		g.shares[w.Name] = positive(w.Share)
+		for _, application := range w.Applications {
+			g.total[application] += positive(w.Share)
+		}
+	}
+}
+
+// same tells whether two lists are one in memory. Configurations never change,
+// so one in memory has one content.
+func same[T any](a, b []T) bool {
+	return len(a) == len(b) && len(a) > 0 && &a[0] == &b[0]
+}
+
 // Cells returns all cells, ordered by ID.
 func (g Groups) Cells() []Cell { return g.cells }
 
