--- a/internal/tool/procs/process_test.go
+++ b/internal/tool/procs/process_test.go
@@ -20,6 +20,7 @@
 const (
 	firstPort = 20_000
 	lastPort  = 30_000
+	portsEach = 64
 	keptLines = 40
 )
 
@@ -155,7 +156,7 @@
 }
 
 func newPorts() *ports {
-	return &ports{next: firstPort + os.Getpid()%(lastPort-firstPort)}
+	return &ports{next: firstPort + os.Getpid()*portsEach%(lastPort-firstPort)}
 }
 
 func (p *ports) take(t *testing.T) string {
