--- a/internal/tool/procs/process_test.go
+++ b/internal/tool/procs/process_test.go
@@ -81,7 +81,9 @@
 		line := scanner.Text()
 		p.mu.Lock()
 		if attempt, ok := strings.CutPrefix(line, "call "); ok {
+			// An attempt is REQUEST.NUMBER, or REQUEST-LEG.NUMBER after a lost node.
 			id, _, _ := strings.Cut(attempt, ".")
+			id, _, _ = strings.Cut(id, "-")
 			p.calls[id] = true
 		} else {
 			p.last = append(p.last, line)
--- a/internal/tool/procs/procs_test.go
+++ b/internal/tool/procs/procs_test.go
@@ -26,9 +26,9 @@
 
 func chosen() size {
 	if *long {
-		return size{routers: 8, engines: 6, length: 50 * time.Second, rate: 60, burst: 60}
+		return size{routers: 8, engines: 6, length: 50 * time.Second, rate: 60, burst: 300}
 	}
-	return size{routers: 3, engines: 3, length: 6 * time.Second, rate: 25, burst: 20}
+	return size{routers: 3, engines: 3, length: 6 * time.Second, rate: 25, burst: 120}
 }
 
 // TestPromisesUnderKills kills and restarts what it can while callers ask.
--- a/internal/tool/procs/site_test.go
+++ b/internal/tool/procs/site_test.go
@@ -51,7 +51,7 @@
 	s.service = s.add(t, "service", "standin", "service")
 	for i := range engines {
 		name := fmt.Sprintf("engine-%d", i+1)
-		s.engines = append(s.engines, s.add(t, name, "standin", "engine", "--name", name, "--print-calls", "--poison", poison,
+		s.engines = append(s.engines, s.add(t, name, "standin", "engine", "--name", name, "--print-calls", "--max-running", "6", "--max-waiting", "4", "--poison", poison,
 			"--prefill-per-token", prefillCost, "--decode-per-token", decodeCost, "--cache-blocks", cachedBlocks, "--block-tokens", "500"))
 	}
 	for i := range routers {
