--- a/internal/tool/relay/relay_test.go
+++ b/internal/tool/relay/relay_test.go
@@ -41,6 +41,7 @@
 	maxMicros       = 60_000_000
 	roleVariable    = "CICADAMILL_RELAY_ROLE"
 	backendVariable = "CICADAMILL_RELAY_BACKEND"
+	peerVariable    = "CICADAMILL_RELAY_PEER"
 )
 
 // TestMain plays one of the processes of the benchmark when it is told to, so
@@ -141,14 +142,19 @@
 // that tells its use.
 func serveRouter(backend string) {
 	ctx, cancel := context.WithCancel(context.Background())
-	node := server.New(local.Settings{
-		Name: "n", DataCentre: "d", CallerAddress: "127.0.0.1:0",
+	settings := local.Settings{
+		Name: "n", DataCentre: "d", CallerAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
 		Bootstrap: fmt.Appendf(nil, config, backend, auth.Hash("key")),
-	}, hclog.NewNullLogger())
+	}
+	if peer := os.Getenv(peerVariable); peer != "" {
+		settings.Name, settings.Peers = "m", []string{peer}
+	}
+	node := server.New(settings, hclog.NewNullLogger())
 	ended := make(chan error, 1)
 	go func(ctx context.Context) { ended <- node.Serve(ctx) }(ctx)
 	side := httptest.NewServer(usage(http.NotFoundHandler()))
-	fmt.Println((<-node.Ready()).Caller, side.Listener.Addr())
+	addresses := <-node.Ready()
+	fmt.Println(addresses.Caller, side.Listener.Addr(), addresses.Peer)
 	_, _ = io.Copy(io.Discard, os.Stdin)
 	cancel()
 	<-ended
@@ -156,13 +162,14 @@
 
 // process is a part of the benchmark in a process of its own.
 type process struct {
-	address, side string
+	address, side, peer string
 }
 
-func launch(b *testing.B, role, backend string) process {
+func launch(b *testing.B, role, backend string, more ...string) process {
 	b.Helper()
 	command := exec.Command(os.Args[0])
 	command.Env = append(os.Environ(), roleVariable+"="+role, backendVariable+"="+backend)
+	command.Env = append(command.Env, more...)
 	command.Stderr = os.Stderr
 	in, err := command.StdinPipe()
 	require.NoError(b, err)
@@ -176,7 +183,11 @@
 	line, err := bufio.NewReader(out).ReadString('\n')
 	require.NoError(b, err)
 	fields := strings.Fields(line)
-	return process{address: fields[0], side: fields[len(fields)-1]}
+	p := process{address: fields[0], side: fields[0]}
+	if len(fields) > 1 {
+		p.side, p.peer = fields[1], fields[2]
+	}
+	return p
 }
 
 // used is what a process has used.
@@ -282,6 +293,32 @@
 	b.ReportMetric(slices.Min(ratios), "router/proxy-least")
 }
 
+// BenchmarkHop tells what an event costs two nodes together when it enters at
+// the home of its cell, and when it enters at the other node.
+func BenchmarkHop(b *testing.B) {
+	engine := launch(b, "engine", "")
+	one := launch(b, "router", engine.address)
+	two := launch(b, "router", engine.address, peerVariable+"="+one.peer)
+	both := func(entry process) float64 {
+		before := one.used(b, "").cpu + two.used(b, "").cpu
+		events := float64(read(b, entry, streams, 1, nil))
+		after := one.used(b, "").cpu + two.used(b, "").cpu
+		return float64((after - before).Nanoseconds()) / 1000 / events
+	}
+	both(one)
+	both(two)
+	var entered [2][]float64
+	for b.Loop() {
+		for range pairs {
+			entered[0] = append(entered[0], both(one))
+			entered[1] = append(entered[1], both(two))
+		}
+	}
+	costs := []float64{median(entered[0]), median(entered[1])}
+	b.ReportMetric(slices.Min(costs), "at-home-µs-cpu/event")
+	b.ReportMetric(slices.Max(costs), "one-hop-µs-cpu/event")
+}
+
 // BenchmarkFirst compares the time to first event on an idle node with that of
 // the engine alone.
 func BenchmarkFirst(b *testing.B) {
