--- a/internal/tool/procs/process_test.go
+++ b/internal/tool/procs/process_test.go
@@ -20,6 +20,7 @@
 const (
 	firstPort = 20_000
 	lastPort  = 30_000
+	portsEach = 64
 	keptLines = 40
 )
 
@@ -80,7 +81,9 @@
 		line := scanner.Text()
 		p.mu.Lock()
 		if attempt, ok := strings.CutPrefix(line, "call "); ok {
+			// An attempt is REQUEST.NUMBER, or REQUEST-LEG.NUMBER after a lost node.
 			id, _, _ := strings.Cut(attempt, ".")
+			id, _, _ = strings.Cut(id, "-")
 			p.calls[id] = true
 		} else {
 			p.last = append(p.last, line)
@@ -155,7 +158,7 @@
 }
 
 func newPorts() *ports {
-	return &ports{next: firstPort + os.Getpid()%(lastPort-firstPort)}
+	return &ports{next: firstPort + os.Getpid()*portsEach%(lastPort-firstPort)}
 }
 
 func (p *ports) take(t *testing.T) string {
