Count what the cell decides and seed it anew at each start

Cause: the counters of the slice reached no metric, and every node drew the same jitter, so that callers refused by different nodes came back together.

Shown by: TestCounterFollowsACellThatRestarts.

--- a/internal/node/loop/loop.go
+++ b/internal/node/loop/loop.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -36,6 +37,7 @@
 	fetch   func(ctx context.Context, target string)
 	stopped chan struct{}
 	bring   func(ctx context.Context, command cell.Import)
+	count   func(cell.Counts)
 	update  func(cell.State, time.Time, cell.Message) (cell.State, []cell.Command)
 
 	mu        sync.Mutex
@@ -69,7 +71,7 @@
 			l.stop()
 		}
 	}()
-	state := cell.New()
+	state := cell.New(cell.WithSeed(rand.Uint64()))
 	state, commands := state.Update(time.Now(), l.restart())
 	clock := newClock()
 	defer clock.stop()
@@ -81,6 +83,7 @@
 			return ctx.Err()
 		case message = <-l.inbox:
 		case <-clock.ticks():
+			l.report(state)
 		case <-clock.wakes():
 			clock.woken()
 		}
@@ -150,6 +153,19 @@
 	return l
 }
 
+// WithCounts sets the function that takes the slice's counters with every tick.
+// They begin at zero again when the loop restarts.
+func (l *Loop) WithCounts(count func(cell.Counts)) *Loop {
+	l.count = count
+	return l
+}
+
+func (l *Loop) report(state cell.State) {
+	if l.count != nil {
+		l.count(state.Counts())
+	}
+}
+
 func (l *Loop) importBlocks(ctx context.Context, c cell.Import) {
 	if l.bring != nil {
 		l.bring(ctx, c)
--- a/internal/node/server/decide.go
+++ b/internal/node/server/decide.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/cicadamill/cicadamill/internal/config/site"
 	"github.com/cicadamill/cicadamill/internal/node/loop"
 	"github.com/cicadamill/cicadamill/internal/route/cell"
@@ -27,6 +29,29 @@
 	}
 }
 
+// counter returns a function that counts what a loop's cell decides.
+func counter(scope tally.Scope) func(cell.Counts) {
+	var before cell.Counts
+	return func(now cell.Counts) {
+		if now.Arrived < before.Arrived {
+			before = cell.Counts{}
+		}
+		values := map[string]uint64{
+			"arrived": now.Arrived - before.Arrived, "refused": now.Refused - before.Refused,
+			"retried": now.Retried - before.Retried, "expected_tokens": now.Expected - before.Expected,
+			"found_tokens": now.Found - before.Found, "prompt_tokens": now.Prompt - before.Prompt,
+			"held": now.Held - before.Held, "moved": now.Moved - before.Moved, "imports": now.Imports - before.Imports,
+			"spread": now.Spread - before.Spread, "event_gaps": now.Gaps - before.Gaps,
+		}
+		for name, value := range values {
+			if value > 0 {
+				scope.Counter(name).Inc(int64(value))
+			}
+		}
+		before = now
+	}
+}
+
 // importer returns the function that runs the imports of a loop's cell.
 func (s *Server) importer(l *loop.Loop) func(ctx context.Context, command cell.Import) {
 	return func(ctx context.Context, command cell.Import) {
--- a/internal/node/server/fleet.go
+++ b/internal/node/server/fleet.go
@@ -58,7 +58,9 @@
 func (s *Server) newCells() *cells.Set {
 	return cells.New(cells.Options{
 		DataCentre: s.settings.DataCentre, Targets: engineList, Dial: s.dial,
-		Prepare: func(l *loop.Loop) { l.WithImport(s.importer(l)) },
+		Prepare: func(l *loop.Loop) {
+			l.WithImport(s.importer(l)).WithCounts(counter(s.watch.scope().SubScope("decide")))
+		},
 		Leaving: func() []string { return s.fleet.leavingTargets() },
 		Flow:    append([]flow.Option{flow.WithGate(func(t, i string) bool { return s.fleet.isLeaving(t, i) })}, s.streams.flow...),
 		Scope:   s.watch.scope().SubScope("fleet"), Supervised: s.supervised,
--- a/internal/route/cell/cell.go
+++ b/internal/route/cell/cell.go
@@ -58,6 +58,8 @@
 	// Expected and Found are prompt tokens thought to be cached at dispatch,
 	// and those that the engines then found.
 	Expected, Found uint64
+	// Prompt are all prompt tokens that were sent to engines.
+	Prompt uint64
 	// Held counts dispatches put off until another request has computed a
 	// shared prefix.
 	Held uint64
--- a/internal/route/cell/work.go
+++ b/internal/route/cell/work.go
@@ -156,6 +156,7 @@
 	t.cache.Touch(now, r.job.Blocks)
 	expected := r.cached * r.job.BlockTokens
 	s.count.Expected += uint64(expected)
+	s.count.Prompt += uint64(max(0, r.job.PromptTokens))
 	return Start{
 		Job: r.job.ID, Attempt: r.attempt, Target: t.Name, Incarnation: t.cache.Incarnation(),
 		WeightVersion: r.job.WeightVersion, Priority: r.priority(), Expected: expected,
