Test the slice that follows versions with any order of messages

Listeners for peers without keys warn as the operators' one did, and config check prints its issues as JSON too.

--- a/cmd/cicadamill/config.go
+++ b/cmd/cicadamill/config.go
@@ -13,6 +13,7 @@
 	"github.com/cicadamill/cicadamill/internal/config/admin"
 	"github.com/cicadamill/cicadamill/internal/config/local"
 	"github.com/cicadamill/cicadamill/internal/config/site"
+	"github.com/cicadamill/cicadamill/internal/config/text"
 )
 
 // configCommand holds the commands that concern the operators' configuration.
@@ -36,13 +37,15 @@
 	JSON     bool   `arg:"--json" help:"print JSON"`
 }
 
-// checkReply is the JSON form of a sound text.
+// checkReply is the JSON form of a text that was checked.
 type checkReply struct {
 	File       string `json:"file"`
 	Site       string `json:"site,omitempty"`
 	Node       string `json:"node,omitempty"`
 	Engines    int    `json:"engines"`
 	Workspaces int    `json:"workspaces"`
+
+	Issues []text.Issue `json:"issues,omitempty"`
 }
 
 // Run implements [command].
@@ -62,10 +65,10 @@
 			return err
 		}
 		reply, err := check.read(source)
+		reply.File = check.file
 		if err != nil {
-			return &exitError{Code: exitInvalid, Err: fmt.Errorf("%s: %w", check.file, err)}
+			return c.invalid(out, reply, err)
 		}
-		reply.File = check.file
 		if err := c.print(out, reply); err != nil {
 			return err
 		}
@@ -73,6 +76,19 @@
 	return nil
 }
 
+// invalid tells what is wrong: all of it on standard error, and as a list with
+// --json.
+func (c *checkCommand) invalid(out io.Writer, reply checkReply, err error) error {
+	var found *text.Error
+	if c.JSON && errors.As(err, &found) {
+		reply.Issues = found.Issues
+		if err := json.NewEncoder(out).Encode(reply); err != nil {
+			return err
+		}
+	}
+	return &exitError{Code: exitInvalid, Err: fmt.Errorf("%s: %w", reply.File, err)}
+}
+
 func (c *checkCommand) print(out io.Writer, reply checkReply) error {
 	if c.JSON {
 		return json.NewEncoder(out).Encode(reply)
--- a/cmd/cicadamill/config_test.go
+++ b/cmd/cicadamill/config_test.go
@@ -126,6 +126,7 @@
 		"settings":      {[]string{"config", "check", "--settings", "../../examples/ashaiman/node.jsonc"}, exitOK, "sound settings of node tema-1"},
 		"json":          {[]string{"config", "check", "--json", "../../examples/ashaiman/configuration.jsonc"}, exitOK, `"engines":13`},
 		"bad":           {[]string{"config", "check", "config_test.go"}, exitInvalid, "1 error in the configuration"},
+		"bad as JSON":   {[]string{"config", "check", "--json", "config_test.go"}, exitInvalid, `"issues":[{"line":1,`},
 		"nothing":       {[]string{"config", "check"}, exitUsage, "name a FILE"},
 		"no command":    {[]string{"config"}, exitUsage, "name one of config check"},
 	}
--- /dev/null
+++ b/internal/config/share/share_test.go
@@ -0,0 +1,164 @@
+package share_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadamill/cicadamill/internal/config/delta"
+	"github.com/cicadamill/cicadamill/internal/config/share"
+	"github.com/cicadamill/cicadamill/internal/config/site"
+)
+
+// peer answers with what it is given.
+type peer struct {
+	answer share.Answer
+	heard  []share.Hint
+}
+
+func (p *peer) Answer(have uint64, _ string) (share.Answer, bool) {
+	return p.answer, p.answer.Version > have
+}
+
+func (p *peer) Hear(from string, version uint64) {
+	p.heard = append(p.heard, share.Hint{Peer: from, Version: version})
+}
+
+// counted is a listener that counts the bytes of its connections both ways.
+type counted struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+func (l counted) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	return countedConn{accepted, l.bytes}, err
+}
+
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func serve(t *testing.T, p *peer) (address string, bytes *atomic.Int64) {
+	t.Helper()
+	bytes = &atomic.Int64{}
+	server := httptest.NewUnstartedServer(share.Handler(p))
+	server.Listener = counted{server.Listener, bytes}
+	server.Start()
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String(), bytes
+}
+
+func newClient() *share.Client {
+	return share.New("http", &http.Client{Transport: &http.Transport{DisableCompression: true}})
+}
+
+// chain returns a configuration of many engines and the change to the next.
+func chain() (before, after site.Config, change delta.Change) {
+	for i := range 200 {
+		before.Engines = append(before.Engines, site.Engine{Name: fmt.Sprintf("engine-%03d", i)})
+	}
+	before = delta.Sort(before)
+	after = before
+	after.Engines = append(after.Engines[:200:200], site.Engine{Name: "engine-999", Address: "10.0.0.1:8000", DataCentre: "dc-1", Model: "model-1", CacheBlocks: 100000})
+	return before, after, delta.Between(7, before, after)
+}
+
+func TestFetch(t *testing.T) {
+	before, after, change := chain()
+	sum := delta.Sum(after)
+	tests := map[string]struct {
+		answer share.Answer
+		have   uint64
+		ok     bool
+		bad    bool
+	}{
+		"changes":       {answer: share.Answer{Version: 8, Sum: sum, Changes: []delta.Change{change}}, have: 7, ok: true},
+		"whole, packed": {answer: share.Answer{Version: 8, Sum: sum, Config: &after}, have: 7, ok: true},
+		"nothing newer": {answer: share.Answer{Version: 8, Sum: sum}, have: 8},
+		"wrong sum":     {answer: share.Answer{Version: 8, Sum: "x", Config: &after}, have: 7, ok: true, bad: true},
+		"empty answer":  {answer: share.Answer{Version: 8, Sum: sum}, have: 7, ok: true, bad: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			address, _ := serve(t, &peer{answer: test.answer})
+			answer, ok, err := newClient().Fetch(t.Context(), address, test.have, "y")
+			require.NoError(t, err)
+			require.Equal(t, test.ok, ok)
+			if !ok {
+				return
+			}
+			config, err := answer.Build(before)
+			assert.Equal(t, test.bad, err != nil)
+			if err == nil {
+				assert.Equal(t, sum, delta.Sum(config))
+			}
+		})
+	}
+}
+
+func TestBadRequests(t *testing.T) {
+	p := &peer{}
+	address, _ := serve(t, p)
+	response, err := http.Get("http://" + address + share.ConfigPath + "?have=x")
+	require.NoError(t, err)
+	_ = response.Body.Close()
+	assert.Equal(t, http.StatusBadRequest, response.StatusCode)
+	response, err = http.Post("http://"+address+share.HintPath, "application/json", http.NoBody)
+	require.NoError(t, err)
+	_ = response.Body.Close()
+	assert.Equal(t, http.StatusBadRequest, response.StatusCode)
+	assert.Empty(t, p.heard)
+}
+
+// The figures of the two-year size, and how often a node tells of a version
+// and is told of it.
+const (
+	changesPerDay  = 16000
+	hintsPerChange = 6
+	bytesPerSecond = 8000
+)
+
+func TestBytesOfAChange(t *testing.T) {
+	_, after, change := chain()
+	p := &peer{answer: share.Answer{Version: 8, Sum: delta.Sum(after), Changes: []delta.Change{change}}}
+	address, bytes := serve(t, p)
+	client := newClient()
+	tell := func() {
+		require.NoError(t, client.Tell(t.Context(), address, share.Hint{Peer: "10.0.0.1:8081", Version: 8}))
+	}
+	fetch := func() {
+		_, ok, err := client.Fetch(t.Context(), address, 7, change.Sum)
+		require.NoError(t, err)
+		require.True(t, ok)
+	}
+	tell()
+	measure := func(do func()) float64 {
+		before := bytes.Load()
+		do()
+		return float64(bytes.Load() - before)
+	}
+	hint, fetched := measure(tell), measure(fetch)
+	perSecond := (hintsPerChange*hint + 2*fetched) * changesPerDay / (24 * 3600)
+	t.Logf("a hint %.0f bytes, a change %.0f bytes, together %.0f bytes a second on a node", hint, fetched, perSecond)
+	assert.Less(t, perSecond, float64(bytesPerSecond)/4)
+}
--- /dev/null
+++ b/internal/config/sync/sync_test.go
@@ -0,0 +1,128 @@
+package sync_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cicadamill/cicadamill/internal/config/sync"
+)
+
+var begin = time.Unix(1000, 0)
+
+// draw returns any message that a shell may send. A fetch is answered only
+// while one is open.
+func draw(t *rapid.T, fetching bool) sync.Message {
+	version := rapid.Uint64Range(0, 6).Draw(t, "version")
+	peer := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "peer")
+	switch rapid.IntRange(0, 6).Draw(t, "kind") {
+	case 0:
+		return sync.Heard{Peer: peer, Version: version}
+	case 1:
+		return sync.HeadRead{Version: version, Sum: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "sum")}
+	case 2:
+		return sync.Offered{Version: version, Sum: "x"}
+	case 3:
+		return sync.Peers{Addresses: []string{"a", "b", "c"}, Nodes: 4}
+	case 4:
+		if fetching {
+			return sync.Offered{Version: version, Sum: "x", From: peer, Fetched: true}
+		}
+	case 5:
+		if fetching {
+			return sync.FetchFailed{Peer: peer}
+		}
+	}
+	return sync.Tick{}
+}
+
+func TestAnyOrderOfMessages(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		state, now := sync.New(rapid.Uint64().Draw(t, "seed")), begin
+		applied, fetching := uint64(0), false
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			message := draw(t, fetching)
+			switch m := message.(type) {
+			case sync.Offered:
+				fetching = fetching && !m.Fetched
+			case sync.FetchFailed:
+				fetching = false
+			}
+			var commands []sync.Command
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "millis")) * time.Millisecond)
+			state, commands = state.Update(now, message)
+			for _, command := range commands {
+				switch c := command.(type) {
+				case sync.Apply:
+					require.Greater(t, c.Version, applied, "versions only rise")
+					applied = c.Version
+				case sync.FetchPeer, sync.FetchTable:
+					require.False(t, fetching, "one fetch at a time")
+					fetching = true
+				}
+			}
+			require.Equal(t, applied, state.Version())
+		}
+	})
+}
+
+func TestHeardVersionIsFetchedAtOnceAndToldOn(t *testing.T) {
+	state, _ := sync.New(1).Update(begin, sync.Peers{Addresses: []string{"a", "b", "c", "d", "e"}, Nodes: 6})
+	state, commands := state.Update(begin, sync.Heard{Peer: "a", Version: 7})
+	assert.Equal(t, []sync.Command{sync.FetchPeer{Peer: "a"}}, commands)
+	state, commands = state.Update(begin, sync.Offered{Version: 7, Sum: "x", From: "a", Fetched: true})
+	require.Len(t, commands, 2)
+	assert.Equal(t, sync.Apply{Version: 7, Sum: "x"}, commands[0])
+	assert.Len(t, commands[1].(sync.Tell).Peers, 3)
+	assert.NotContains(t, commands[1].(sync.Tell).Peers, "a")
+	_, commands = state.Update(begin, sync.Heard{Peer: "b", Version: 7})
+	assert.Empty(t, commands)
+}
+
+func TestFailedPeerIsLeftForAnother(t *testing.T) {
+	state, _ := sync.New(1).Update(begin, sync.Heard{Peer: "a", Version: 7})
+	state, _ = state.Update(begin, sync.Heard{Peer: "b", Version: 7})
+	state, commands := state.Update(begin, sync.FetchFailed{Peer: "a"})
+	assert.Empty(t, commands, "not at once")
+	_, commands = state.Update(begin.Add(time.Second), sync.Tick{})
+	assert.Contains(t, commands, sync.FetchPeer{Peer: "b"})
+}
+
+func TestFlags(t *testing.T) {
+	tests := map[string]struct {
+		head sync.HeadRead
+		want sync.Flag
+	}{
+		"older":         {sync.HeadRead{Version: 3, Sum: "x"}, sync.TableOlder{Table: 3, InForce: 7}},
+		"empty":         {sync.HeadRead{}, sync.TableOlder{InForce: 7}},
+		"other content": {sync.HeadRead{Version: 7, Sum: "y"}, sync.Forked{Version: 7}},
+		"same":          {sync.HeadRead{Version: 7, Sum: "x"}, nil},
+		"newer":         {sync.HeadRead{Version: 8, Sum: "z"}, nil},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			state, _ := sync.New(1).Update(begin, sync.Offered{Version: 7, Sum: "x"})
+			state, commands := state.Update(begin, test.head)
+			if test.want == nil {
+				assert.NotContains(t, fmt.Sprintf("%T", commands), "Warn")
+				return
+			}
+			assert.Equal(t, []sync.Command{sync.Warn{Flag: test.want}}, commands)
+			assert.EqualValues(t, 7, state.Version())
+			_, commands = state.Update(begin, test.head)
+			assert.Empty(t, commands, "told once")
+		})
+	}
+}
+
+func TestManyPeersStayBounded(t *testing.T) {
+	state := sync.New(1)
+	for i := range 10000 {
+		state, _ = state.Update(begin, sync.Heard{Peer: fmt.Sprint(i), Version: 7})
+	}
+	assert.Less(t, len(fmt.Sprintf("%+v", state)), 5000)
+}
--- a/internal/node/server/listen.go
+++ b/internal/node/server/listen.go
@@ -13,6 +13,9 @@
 	"github.com/cicadamill/cicadamill/internal/entry/limit"
 )
 
+// callers show a bearer key; everybody else must show a certificate.
+const callers = "callers"
+
 // listen opens a listener, with TLS when key files are named.
 func (s *Server) listen(who, address string, files local.KeyFiles) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
@@ -20,6 +23,9 @@
 		return nil, errors.Annotatef(err, "opening the listener for %s", who)
 	}
 	if !files.Set() {
+		if who != callers {
+			s.logger.Warn("no key files for this listener: whoever reaches it is trusted", "for", who, "address", listener.Addr().String())
+		}
 		return limit.Listen(listener), nil
 	}
 	keys, err := s.keys(who, files)
--- a/internal/node/server/operators.go
+++ b/internal/node/server/operators.go
@@ -31,9 +31,6 @@
 	if err != nil {
 		return nil, err
 	}
-	if !s.settings.OperatorTLS.Set() {
-		s.logger.Warn("operators connect without keys: anyone who reaches the listener may change the configuration", "address", listener.Addr().String())
-	}
 	return &operators{server: s, configs: c, listener: listener}, nil
 }
 
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -102,7 +102,7 @@
 	effects := s.openEffects()
 	defer effects.close()
 	handler := s.watch.callers(effects.around(front.New(s.settings.Name, s.applied.Config, s.watch.runner(s.fleet.steer), s.streams.front)))
-	listener, err := s.listen("callers", s.settings.CallerAddress, s.settings.CallerTLS)
+	listener, err := s.listen(callers, s.settings.CallerAddress, s.settings.CallerTLS)
 	if err != nil {
 		return err
 	}
