Keep the packed content for nodes that start together

Each node that restarts asks a peer for the whole content. Encoding and packing it anew for each of a herd would load the few nodes that are up; the packed form is kept for one version now. A submission accepted here always reaches the slice, also when the node is busy.

Shown by: TestSameContentUnderANewVersion, TestMetricsAndTheirPagesAgree.

--- a/internal/config/share/share.go
+++ b/internal/config/share/share.go
@@ -63,12 +63,13 @@
 // Handler serves other nodes.
 func Handler(node Node) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+ConfigPath, func(w http.ResponseWriter, r *http.Request) { serveConfig(node, w, r) })
+	packed := &packed{}
+	mux.HandleFunc("GET "+ConfigPath, func(w http.ResponseWriter, r *http.Request) { serveConfig(node, packed, w, r) })
 	mux.HandleFunc("POST "+HintPath, func(w http.ResponseWriter, r *http.Request) { serveHint(node, w, r) })
 	return mux
 }
 
-func serveConfig(node Node, w http.ResponseWriter, r *http.Request) {
+func serveConfig(node Node, packed *packed, w http.ResponseWriter, r *http.Request) {
 	have, err := strconv.ParseUint(r.URL.Query().Get("have"), 10, 64)
 	if err != nil {
 		http.Error(w, "have must be a version", http.StatusBadRequest)
@@ -79,20 +80,16 @@
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
-	encoded, err := json.Marshal(answer)
+	encoded, zipped, err := packed.encode(answer)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	if len(encoded) < gzipFrom {
-		_, _ = w.Write(encoded)
-		return
+	if zipped {
+		w.Header().Set("Content-Encoding", "gzip")
 	}
-	w.Header().Set("Content-Encoding", "gzip")
-	packer := gzip.NewWriter(w)
-	_, _ = packer.Write(encoded)
-	_ = packer.Close()
+	_, _ = w.Write(encoded)
 }
 
 func serveHint(node Node, w http.ResponseWriter, r *http.Request) {
--- a/internal/config/share/share_test.go
+++ b/internal/config/share/share_test.go
@@ -1,6 +1,8 @@
 package share_test
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"net"
 	"net/http"
@@ -116,6 +118,19 @@
 	}
 }
 
+func TestSameContentUnderANewVersion(t *testing.T) {
+	_, after, _ := chain()
+	p := &peer{}
+	address, _ := serve(t, p)
+	for version := uint64(8); version < 11; version++ {
+		p.answer = share.Answer{Version: version, Sum: delta.Sum(after), Config: &after}
+		answer, ok, err := newClient().Fetch(t.Context(), address, 7, "")
+		require.NoError(t, err)
+		require.True(t, ok)
+		assert.Equal(t, version, answer.Version)
+	}
+}
+
 func TestBadRequests(t *testing.T) {
 	p := &peer{}
 	address, _ := serve(t, p)
@@ -162,3 +177,36 @@
 	t.Logf("a hint %.0f bytes, a change %.0f bytes, together %.0f bytes a second on a node", hint, fetched, perSecond)
 	assert.Less(t, perSecond, float64(bytesPerSecond)/4)
 }
+
+// BenchmarkWhole fetches the whole content at the two-year size and builds it,
+// as a node does that has just started.
+func BenchmarkWhole(b *testing.B) {
+	var config site.Config
+	for i := range 11000 {
+		config.Engines = append(config.Engines, site.Engine{
+			Name: fmt.Sprintf("engine-%05d", i), Address: fmt.Sprintf("10.%d.%d.%d:8000", i%9, i/2250, i/9%250+1),
+			DataCentre: fmt.Sprintf("dc-%d", i%9), Model: fmt.Sprintf("model-%d", i%6), CacheBlocks: 100000, ChecksFence: true,
+		})
+	}
+	for i := range 2600 {
+		hash := sha256.Sum256([]byte{byte(i), byte(i >> 8)})
+		config.Workspaces = append(config.Workspaces, site.Workspace{Name: fmt.Sprintf("workspace-%04d", i), KeyHashes: []string{hex.EncodeToString(hash[:])}})
+	}
+	config = delta.Sort(config)
+	bytes := &atomic.Int64{}
+	server := httptest.NewUnstartedServer(share.Handler(&peer{answer: share.Answer{Version: 8, Sum: delta.Sum(config), Config: &config}}))
+	server.Listener = counted{server.Listener, bytes}
+	server.Start()
+	defer server.Close()
+	client := newClient()
+	for b.Loop() {
+		answer, _, err := client.Fetch(b.Context(), server.Listener.Addr().String(), 0, "")
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := answer.Build(site.Config{}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(bytes.Load())/float64(b.N), "bytes/fetch")
+}
--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -114,9 +114,9 @@
 }
 
 // Accepted tells of a configuration that was accepted through this node.
-func (f *Follower) Accepted(version uint64, config site.Config) {
+func (f *Follower) Accepted(ctx context.Context, version uint64, config site.Config) {
 	config = delta.Sort(config)
-	f.send(sync.Offered{Version: version, Sum: delta.Sum(config), Config: config})
+	f.deliver(ctx, sync.Offered{Version: version, Sum: delta.Sum(config), Config: config})
 }
 
 // Flag returns what only an operator can mend; nil means nothing.
--- a/internal/node/follow/mesh_test.go
+++ b/internal/node/follow/mesh_test.go
@@ -179,7 +179,7 @@
 	entry := submit.Entry{Base: base, Nonce: nonce, Text: record.TextKey(base, nonce), Sum: delta.Sum(delta.Sort(config))}
 	version, err := n.store.Submit(ctx, entry, text, n.follower.Version())
 	if err == nil {
-		n.follower.Accepted(version, config)
+		n.follower.Accepted(ctx, version, config)
 	}
 	return version, err
 }
--- a/internal/node/server/metrics_test.go
+++ b/internal/node/server/metrics_test.go
@@ -20,11 +20,14 @@
 // explain. The page on nodes and configuration has all the others.
 var pages = map[string][]string{
 	"stream.md":  {"stream_"},
-	"fleet.md":   {"fleet_"},
-	"effects.md": {"effects_", "ledger_", "service_", "target_failures", "orders_", "order_"},
+	"fleet.md":   {"fleet_", "drain_"},
+	"effects.md": {"effects_", "ledger_", "service_", "target_failures", "orders", "lease_"},
 }
 
-const mainPage = "config.md"
+const (
+	folder   = "../../../docs/operations"
+	mainPage = "config.md"
+)
 
 // reportPause is longer than the interval in which values reach the page.
 const reportPause = 3 * time.Second
@@ -55,7 +58,7 @@
 // documented returns the metrics that the tables of a page explain.
 func documented(t *testing.T, page string) map[string]bool {
 	t.Helper()
-	text, err := os.ReadFile(filepath.Join("../../../docs/operations", page))
+	text, err := os.ReadFile(filepath.Join(folder, page))
 	require.NoError(t, err)
 	names := map[string]bool{}
 	for line := range strings.Lines(string(text)) {
@@ -82,14 +85,20 @@
 	return mainPage
 }
 
-func TestMetricsAndTheirPageAgree(t *testing.T) {
-	names, explained := scraped(t), documented(t, mainPage)
+func TestMetricsAndTheirPagesAgree(t *testing.T) {
+	names := scraped(t)
+	explained := map[string]map[string]bool{mainPage: documented(t, mainPage)}
+	for page := range pages {
+		if _, err := os.Stat(filepath.Join(folder, page)); err == nil {
+			explained[page] = documented(t, page)
+		}
+	}
 	for name := range names {
-		if pageOf(name) == mainPage {
-			assert.True(t, explained[name], "%s is scraped and not explained in %s", name, mainPage)
+		if on, ok := explained[pageOf(name)]; ok {
+			assert.True(t, on[name], "%s is scraped and not explained in %s", name, pageOf(name))
 		}
 	}
-	for name := range explained {
+	for name := range explained[mainPage] {
 		assert.True(t, names[name], "%s is explained in %s and not scraped", name, mainPage)
 	}
 }
--- a/internal/route/group/with_test.go
+++ b/internal/route/group/with_test.go
@@ -1,6 +1,7 @@
 package group_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 
@@ -47,16 +48,23 @@
 
 // BenchmarkWith takes over a change of workspaces at the two-year size.
 func BenchmarkWith(b *testing.B) {
-	config := site.Config{Regions: []site.Region{{Name: "r", DataCentres: []string{"dc"}}}}
-	application := site.Application{Name: "ask", Model: "m"}
-	for i := range 11000 {
-		name := string(rune('a'+i%26)) + string(rune(0x4e00+i))
-		config.Engines = append(config.Engines, site.Engine{Name: name, DataCentre: "dc", Model: "m"})
-		application.Engines = append(application.Engines, name)
+	const engines, workspaces, models, dataCentres = 11000, 2600, 6, 9
+	var config site.Config
+	for i := range dataCentres {
+		region := site.Region{Name: fmt.Sprint("region-", i), DataCentres: []string{fmt.Sprint("dc-", i)}}
+		config.Regions = append(config.Regions, region)
 	}
-	config.Applications = []site.Application{application}
-	for i := range 2600 {
-		config.Workspaces = append(config.Workspaces, site.Workspace{Name: string(rune(0x4e00 + i)), Applications: []string{"ask"}})
+	config.Applications = make([]site.Application, models)
+	for i := range models {
+		config.Applications[i] = site.Application{Name: fmt.Sprint("app-", i), Model: fmt.Sprint("model-", i)}
+	}
+	for i := range engines {
+		name, model := fmt.Sprint("engine-", i), i%models
+		config.Engines = append(config.Engines, site.Engine{Name: name, DataCentre: fmt.Sprint("dc-", i%dataCentres), Model: config.Applications[model].Model})
+		config.Applications[model].Engines = append(config.Applications[model].Engines, name)
+	}
+	for i := range workspaces {
+		config.Workspaces = append(config.Workspaces, site.Workspace{Name: fmt.Sprint("workspace-", i), Applications: []string{config.Applications[i%models].Name}})
 	}
 	groups := group.New(config)
 	b.Run("new", func(b *testing.B) {
