--- a/internal/standin/outage/outage_test.go
+++ b/internal/standin/outage/outage_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -18,7 +19,7 @@
 		fault   string
 		status  int
 		lost    bool
-		effects int
+		effects int64
 	}{
 		"none":          {fault: `{"kind":"down","millis":0}`, status: http.StatusOK, effects: 1},
 		"down":          {fault: `{"kind":"down","millis":60000}`, status: http.StatusServiceUnavailable},
@@ -29,9 +30,9 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			effects := 0
+			var effects atomic.Int64
 			server := httptest.NewServer(outage.New(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				effects++
+				effects.Add(1)
 				_, _ = io.WriteString(w, "done")
 			})))
 			defer server.Close()
@@ -40,7 +41,7 @@
 			require.NoError(t, response.Body.Close())
 			response, err = http.Post(server.URL, "text/plain", http.NoBody)
 			assert.Equal(t, test.lost, err != nil)
-			assert.Equal(t, test.effects, effects)
+			assert.Equal(t, test.effects, effects.Load())
 			if err == nil {
 				assert.Equal(t, test.status, response.StatusCode)
 				require.NoError(t, response.Body.Close())
