--- a/internal/standin/outage/outage_test.go
+++ b/internal/standin/outage/outage_test.go
@@ -19,7 +19,7 @@
 		fault   string
 		status  int
 		lost    bool
-		effects int64
+		effects int32
 	}{
 		"none":          {fault: `{"kind":"down","millis":0}`, status: http.StatusOK, effects: 1},
 		"down":          {fault: `{"kind":"down","millis":60000}`, status: http.StatusServiceUnavailable},
@@ -30,7 +30,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			var effects atomic.Int64
+			var effects atomic.Int32
 			server := httptest.NewServer(outage.New(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				effects.Add(1)
 				_, _ = io.WriteString(w, "done")
