Show outages to operators, and a key replaced in three steps

A submission may bound how long a node tries. Tests bring about a table that is down and one that loses the reply and then goes down, and see the same nonce find out afterwards; streams go on while five versions follow on each other. A workspace without applications gets an empty list of models, not null.

--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -1,6 +1,7 @@
 package examples_test
 
 import (
+	"net/http"
 	"os"
 	"path/filepath"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"github.com/cicadamill/cicadamill/internal/config/local"
 	"github.com/cicadamill/cicadamill/internal/config/site"
+	"github.com/cicadamill/cicadamill/internal/entry/auth"
 )
 
 func TestDeployments(t *testing.T) {
@@ -43,3 +45,19 @@
 		})
 	}
 }
+
+func TestRotateKey(t *testing.T) {
+	bearer := func(key string) http.Header { return http.Header{"Authorization": {"Bearer " + key}} }
+	for name, want := range map[string][2]bool{"1-old": {true, false}, "2-both": {true, true}, "3-new": {false, true}} {
+		t.Run(name, func(t *testing.T) {
+			source, err := os.ReadFile(filepath.Join("rotate-key", name+".jsonc"))
+			require.NoError(t, err)
+			config, err := site.Parse(source)
+			require.NoError(t, err)
+			for i, key := range []string{"sample-key-members", "sample-key-members-2"} {
+				_, ok := auth.New(config).Workspace(bearer(key))
+				assert.Equal(t, want[i], ok, key)
+			}
+		})
+	}
+}
--- a/internal/config/admin/admin.go
+++ b/internal/config/admin/admin.go
@@ -47,6 +47,9 @@
 	Author string `json:"author,omitempty"`
 	// Text is the whole text, kept verbatim.
 	Text string `json:"text"`
+	// TimeoutMillis is how long the node may try, in milliseconds; zero means
+	// ten seconds, which is also the longest.
+	TimeoutMillis int `json:"timeoutMillis,omitempty"`
 }
 
 // Accepted answers a submission.
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -201,7 +201,7 @@
 	list := struct {
 		Object string  `json:"object"`
 		Data   []entry `json:"data"`
-	}{Object: "list"}
+	}{Object: "list", Data: []entry{}}
 	for _, name := range workspace.Applications {
 		list.Data = append(list.Data, entry{ID: name, Object: "model"})
 	}
--- a/internal/node/server/config_test.go
+++ b/internal/node/server/config_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"crypto/rand"
 	"net/http"
+	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +19,7 @@
 	"github.com/cicadamill/cicadamill/internal/entry/auth"
 	"github.com/cicadamill/cicadamill/internal/node/server"
 	"github.com/cicadamill/cicadamill/internal/standin/embed"
+	"github.com/cicadamill/cicadamill/internal/standin/tables"
 )
 
 // inForceWithin is the target of the brief.
@@ -82,6 +85,30 @@
 	}
 }
 
+func TestStreamsGoOnThroughChanges(t *testing.T) {
+	first, _, text := pair(t)
+	bodies := make(chan string, 4)
+	for range cap(bodies) {
+		go func() {
+			_, body := ask(t, first.Caller, embed.MembersKey, "What do posts cost?", true)
+			bodies <- body
+		}()
+	}
+	for version := range uint64(5) {
+		next := strings.Replace(text, auth.Hash(embed.MembersKey), auth.Hash(rand.Text()), 1)
+		_, err := client(first.Operator).Submit(t.Context(), admin.Submission{Base: version, Nonce: rand.Text(), Text: next})
+		require.NoError(t, err)
+	}
+	for range cap(bodies) {
+		body := <-bodies
+		if strings.Contains(body, "unauthorized") {
+			continue // It came after its key was gone, and was told so.
+		}
+		assert.True(t, strings.HasSuffix(body, "data: [DONE]\n\n"), body)
+	}
+	requireVersion(t, first.Operator, 5)
+}
+
 func TestRacingOperatorsSeeOneWinner(t *testing.T) {
 	first, second, text := pair(t)
 	_, err := client(first.Operator).Submit(t.Context(), admin.Submission{Nonce: rand.Text(), Text: text})
@@ -106,6 +133,70 @@
 	assert.Len(t, history.Entries, 1)
 }
 
+// codeOf returns the code of a refusal by the operators' listener.
+func codeOf(t *testing.T, err error) string {
+	t.Helper()
+	var refusal *admin.Refusal
+	require.ErrorAs(t, err, &refusal)
+	return refusal.Code
+}
+
+func TestOutagesAreTold(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	site, _, err := embed.New(ctx)
+	require.NoError(t, err)
+	node := server.New(local.Settings{
+		Name: "node-1", CallerAddress: "127.0.0.1:0", OperatorAddress: "127.0.0.1:0", Bootstrap: site.Config,
+		TableAddress: site.TableAddress, ObjectAddress: site.ObjectAddress,
+	}, hclog.NewNullLogger())
+	ended := make(chan error, 1)
+	go func(ctx context.Context) { ended <- node.Serve(ctx) }(ctx)
+	t.Cleanup(func() {
+		cancel()
+		assert.NoError(t, <-ended)
+	})
+	c := client((<-node.Ready()).Operator)
+	submission := admin.Submission{Nonce: "n", Text: string(site.Config), TimeoutMillis: 300}
+
+	site.Table.SetFault(func(tables.Request) tables.Fault { return tables.Down })
+	_, err = c.Submit(t.Context(), submission)
+	assert.Equal(t, admin.PlatformUnavailable, codeOf(t, err))
+	_, err = c.History(t.Context(), 5)
+	assert.Equal(t, admin.PlatformUnavailable, codeOf(t, err))
+
+	var lost atomic.Bool
+	site.Table.SetFault(func(r tables.Request) tables.Fault {
+		switch {
+		case r.Write && slices.Contains(r.Keys, "config/head"):
+			lost.Store(true)
+			return tables.LoseReply
+		case lost.Load():
+			return tables.Down
+		}
+		return tables.None
+	})
+	_, err = c.Submit(t.Context(), submission)
+	assert.Equal(t, admin.OutcomeUnknown, codeOf(t, err))
+
+	site.Table.SetFault(nil)
+	accepted, err := c.Submit(t.Context(), submission)
+	require.NoError(t, err, "the same nonce finds out")
+	assert.EqualValues(t, 1, accepted.Version)
+}
+
+func TestMalformedQuestionsOfOperators(t *testing.T) {
+	first, _, _ := pair(t)
+	_, err := client(first.Operator).Submit(t.Context(), admin.Submission{Text: "{}"})
+	assert.Equal(t, admin.BadRequest, codeOf(t, err), "no nonce")
+	_, err = client(first.Operator).History(t.Context(), 0)
+	assert.Equal(t, admin.BadRequest, codeOf(t, err))
+	_, err = client(first.Operator).Show(t.Context(), 99)
+	assert.Equal(t, admin.NotFound, codeOf(t, err))
+	status, body := get(t, first.Operator, admin.ConfigPath+"?version=x")
+	assert.Equal(t, http.StatusBadRequest, status)
+	assert.Contains(t, body, admin.BadRequest)
+}
+
 func TestBadTextIsRefusedByTheNode(t *testing.T) {
 	first, _, text := pair(t)
 	_, err := client(first.Operator).Submit(t.Context(), admin.Submission{Nonce: "n", Text: strings.Replace(text, `"share": 3`, `"share": -3`, 1)})
--- a/internal/node/server/operate.go
+++ b/internal/node/server/operate.go
@@ -57,7 +57,11 @@
 	if err != nil {
 		return 0, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	timeout := submitTimeout
+	if s.TimeoutMillis > 0 {
+		timeout = min(timeout, time.Duration(s.TimeoutMillis)*time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	entry := submit.Entry{
 		Base: s.Base, Nonce: s.Nonce, Author: s.Author, Time: time.Now().UTC(),
