--- a/internal/node/server/watch.go
+++ b/internal/node/server/watch.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/cicadamill/cicadamill/internal/config/admin"
 	"github.com/cicadamill/cicadamill/internal/config/site"
 	"github.com/cicadamill/cicadamill/internal/entry/front"
 	"github.com/cicadamill/cicadamill/internal/watch/calls"
@@ -23,16 +24,28 @@
 	labelledWorkspaces = 32
 )
 
+// The counters of this package that are there before anything happens.
+const (
+	keyFileErrors       = "key_file_errors"
+	partFailures        = "part_failures"
+	submissionsAccepted = "config_submissions_accepted"
+)
+
 // watch is what a node shows of itself: metrics, health and readiness.
 type watch struct {
+	calls  *calls.Runner
 	meter  *meter.Meter
 	labels *label.Set
 	health *health.State
 }
 
 func newWatch(logger hclog.Logger) watch {
+	root := meter.New(reportInterval, logger)
+	for _, name := range []string{keyFileErrors, partFailures, submissionsAccepted} {
+		root.Scope().Counter(name)
+	}
 	return watch{
-		meter:  meter.New(reportInterval, logger),
+		meter:  root,
 		labels: label.New(labelledWorkspaces),
 		health: health.New(),
 	}
@@ -42,8 +55,18 @@
 func (w watch) scope() tally.Scope { return w.meter.Scope() }
 
 // runner measures chat requests.
-func (w watch) runner(next front.Runner) front.Runner {
-	return calls.New(next, w.scope(), w.labels)
+func (w *watch) runner(next front.Runner) front.Runner {
+	w.calls = calls.New(next, w.scope(), w.labels)
+	return w.calls
+}
+
+// loads lists what each workspace has under way on this node.
+func (w watch) loads() []admin.Load {
+	loads := []admin.Load{}
+	for _, load := range w.calls.Loads() {
+		loads = append(loads, admin.Load(load))
+	}
+	return loads
 }
 
 // callers adds health, readiness and the count of refusals to a handler.
--- a/internal/watch/calls/calls.go
+++ b/internal/watch/calls/calls.go
@@ -3,7 +3,9 @@
 package calls
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,12 +42,15 @@
 //
 //	runner := calls.New(flow.New(loop, dial), meter.Scope(), labels)
 func New(next front.Runner, scope tally.Scope, labels *label.Set) *Runner {
-	return &Runner{next: next, scope: scope, labels: labels, codes: label.New(maxCodes), memory: newMemory()}
+	r := &Runner{next: next, scope: scope, labels: labels, codes: label.New(maxCodes), memory: newMemory()}
+	r.broken("callerGone") // So that the name is visible before anything breaks.
+	return r
 }
 
 // Run implements [front.Runner].
 func (r *Runner) Run(ctx context.Context, j job.Job, sink func(engine.Event) error) error {
 	group := r.group(j)
+	group.requests.Add(1)
 	group.running.add(1)
 	defer group.running.add(-1)
 	w := &watcher{group: group, known: r.memory.known(j), begun: time.Now(), sink: sink}
@@ -53,8 +58,7 @@
 	group.total.RecordDuration(time.Since(w.begun))
 	group.outcome(err).Inc(1)
 	if err != nil && w.tokens > 0 {
-		code := r.codes.Admit(fault.From(err).Code)
-		r.scope.Tagged(map[string]string{"code": code}).Counter("streams_broken").Inc(1)
+		r.broken(fault.From(err).Code).Inc(1)
 	}
 	if w.accepted {
 		r.memory.learn(j)
@@ -62,6 +66,11 @@
 	return err
 }
 
+// broken returns the counter of answers that ended after they had begun.
+func (r *Runner) broken(code string) tally.Counter {
+	return r.scope.Tagged(map[string]string{"code": r.codes.Admit(code)}).Counter("streams_broken")
+}
+
 func (r *Runner) group(j job.Job) *group {
 	key := groupKey{workspace: r.labels.Label(j.Workspace), class: interactive}
 	if j.Class == batch {
@@ -74,6 +83,32 @@
 	return made.(*group)
 }
 
+// Load is what one workspace has under way.
+type Load struct {
+	// Workspace is the label of the workspace.
+	Workspace string
+	// Class is "interactive" or "batch".
+	Class string
+	// Running is the number of requests under way.
+	Running int64
+	// Requests counts the requests so far.
+	Requests int64
+}
+
+// Loads lists the workspaces that have sent requests, by name.
+func (r *Runner) Loads() []Load {
+	var loads []Load
+	r.groups.Range(func(key, value any) bool {
+		k, g := key.(groupKey), value.(*group)
+		loads = append(loads, Load{Workspace: k.workspace, Class: k.class, Running: g.running.value.Load(), Requests: g.requests.Load()})
+		return true
+	})
+	slices.SortFunc(loads, func(a, b Load) int {
+		return cmp.Or(cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Class, b.Class))
+	})
+	return loads
+}
+
 // watcher follows one request.
 type watcher struct {
 	group    *group
