--- a/internal/node/orders/engines.go
+++ b/internal/node/orders/engines.go
@@ -25,12 +25,12 @@
 func (g *Giver) read(ctx context.Context) lease.Message {
 	row, err := g.options.Table.Get(ctx, Row)
 	if err != nil {
-		g.options.Scope.Counter("lease_down").Inc(1)
+		g.options.Scope.Counter("orders_lease_down").Inc(1)
 		return lease.Down{}
 	}
 	found := lease.Row{Version: row.Version}
 	if row.Version > 0 && json.Unmarshal(row.Value, &found.Record) != nil {
-		g.options.Scope.Counter("lease_malformed").Inc(1)
+		g.options.Scope.Counter("orders_lease_malformed").Inc(1)
 		return lease.Down{}
 	}
 	return found
@@ -94,6 +94,7 @@
 			go func(ctx context.Context) { results <- g.send(ctx, grant, send) }(ctx)
 		}
 	}
+	g.options.Scope.Gauge("orders_given_up").Update(float64(g.orders.GivenUp()))
 	for range commands {
 		g.orders, _ = g.orders.Update(time.Now(), <-results)
 	}
@@ -122,7 +123,7 @@
 	if errors.As(err, &failure) {
 		code = string(failure.Code)
 	}
-	g.options.Scope.Tagged(map[string]string{"kind": kind, "code": code}).Counter("orders").Inc(1)
+	g.options.Scope.Tagged(map[string]string{"kind": kind, "code": code}).Counter("orders_sent").Inc(1)
 	if code != "obeyed" {
 		g.options.Logger.Warn("order failed", "engine", s.Engine, "kind", kind, "code", code)
 	}
--- a/internal/node/orders/orders.go
+++ b/internal/node/orders/orders.go
@@ -95,16 +95,16 @@
 	if held {
 		gauge = 1
 	}
-	g.options.Scope.Gauge("lease_held").Update(gauge)
+	g.options.Scope.Gauge("orders_lease_held").Update(gauge)
 	switch {
 	case held && grant.Fence != g.fence:
 		g.fence = grant.Fence
 		g.orders = order.New(g.options.Bounds)
-		g.options.Scope.Counter("lease_taken").Inc(1)
+		g.options.Scope.Counter("orders_lease_taken").Inc(1)
 		g.options.Logger.Info("took the lease for orders", "fence", grant.Fence)
 	case !held && g.fence != 0:
 		g.fence = 0
-		g.options.Scope.Counter("lease_lost").Inc(1)
+		g.options.Scope.Counter("orders_lease_lost").Inc(1)
 		g.options.Logger.Warn("lost the lease for orders")
 	}
 	return held
@@ -170,10 +170,10 @@
 	case err == nil:
 		return lease.Written{}
 	case errors.As(err, &outage) && !outage.MayHaveApplied:
-		g.options.Scope.Counter("lease_down").Inc(1)
+		g.options.Scope.Counter("orders_lease_down").Inc(1)
 		return lease.Down{}
 	default:
-		g.options.Scope.Counter("lease_unsure").Inc(1)
+		g.options.Scope.Counter("orders_lease_unsure").Inc(1)
 		return lease.Unsure{}
 	}
 }
--- a/internal/node/server/effects.go
+++ b/internal/node/server/effects.go
@@ -44,6 +44,7 @@
 	e := &effects{handler: plain.New(plain.Options{
 		Node: s.settings.Name, DataCentre: s.settings.DataCentre, Config: s.applied.Config,
 		Ledger: runner, Label: s.watch.labels.Label, Scope: scope,
+		Leaving: func(target string) bool { return s.fleet.isLeaving(target, "") },
 	})}
 	e.start(s, writer)
 	e.start(s, runner, sweep.New(table, objects, sweepInterval, rand.Uint64(), scope))
--- a/internal/safety/order/order.go
+++ b/internal/safety/order/order.go
@@ -97,6 +97,18 @@
 	}
 }
 
+// GivenUp returns the number of versions that failed to load and are not tried
+// again.
+func (s State) GivenUp() int {
+	count := 0
+	for _, failed := range s.failures {
+		if failed >= maxFailures {
+			count++
+		}
+	}
+	return count
+}
+
 // Update takes a message at a time and returns the orders to give. Orders are
 // made on [Tick] alone, which the shell sends only while it holds the lease.
 func (s State) Update(now time.Time, message Message) (State, []Command) {
--- a/internal/safety/order/order_test.go
+++ b/internal/safety/order/order_test.go
@@ -153,6 +153,7 @@
 		require.GreaterOrEqual(t, p.count(serving), 6)
 	}
 	assert.Equal(t, 9, p.count(func(load engine.Load) bool { return serving(load) && load.WeightVersion == "1" }))
+	assert.Equal(t, 1, p.state.GivenUp())
 	before := len(p.orders)
 	for range 60 {
 		p.second()
