Find an engine's client by name without going through all engines

Each request, load report and import went through the whole list of engines, and clients of engines that were gone were kept for ever. The addresses are now gathered once for each list of engines, and clients go with their engines.

Shown by: TestDialerFollowsTheConfiguration.

--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -21,7 +21,6 @@
 	"github.com/cicadamill/cicadamill/internal/node/cells"
 	"github.com/cicadamill/cicadamill/internal/route/cell"
 	"github.com/cicadamill/cicadamill/internal/target/engine"
-	"github.com/cicadamill/cicadamill/internal/target/remote"
 )
 
 const idleTimeout = 2 * time.Minute
@@ -34,7 +33,7 @@
 	cells    *cells.Set
 	fleet    *fleet
 	drain    drain
-	clients  sync.Map
+	dialer   *dialer
 	http     *http.Client
 	ready    chan Addresses
 	watch    watch
@@ -64,6 +63,7 @@
 		ready:    make(chan Addresses, 1),
 		http:     engineClient(),
 	}
+	s.dialer = newDialer(s.applied, s.http)
 	s.watch = newWatch(logger)
 	s.streams = newStreams(s.watch)
 	s.cells = s.newCells()
@@ -149,16 +149,8 @@
 	s.logger.Warn("supervised part", "event", event.String())
 }
 
-func (s *Server) dial(target string) (engine.Client, bool) {
-	for _, e := range s.applied.Config().Engines {
-		if e.Name != target {
-			continue
-		}
-		client, _ := s.clients.LoadOrStore(e.Address, remote.New(e.Address, s.http))
-		return client.(engine.Client), true
-	}
-	return nil, false
-}
+// dial returns the client of an engine.
+func (s *Server) dial(target string) (engine.Client, bool) { return s.dialer.find(target) }
 
 // targets lists the engines of a configuration as the cell knows them.
 func targets(config site.Config) []cell.Target {
