--- a/internal/node/flow/flow_test.go
+++ b/internal/node/flow/flow_test.go
@@ -185,6 +185,23 @@
 		l.ended(context.Background(), <-l.ends)
 		assert.Len(t, n.fleet.imports, 1)
 		assert.Equal(t, "chosen", n.fleet.calls[0].Incarnation)
+		assert.Equal(t, "1", n.fleet.calls[0].WeightVersion)
 		assert.True(t, caller.done, "a failed import only costs the recomputation")
 	})
 }
+
+// TestEngineThatChangedDuringAnImportIsNotUsed has an engine that restarts while
+// it brings blocks in, and so refuses the call that follows.
+func TestEngineThatChangedDuringAnImportIsNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := start(t, []step{notRun(engine.Stale)})
+		var caller seen
+		l := newLife(n.runner, request("1"), caller.sink)
+		defer l.close()
+		l.start(context.Background(), startOn("a", 1, &engine.Import{Source: "store"}))
+		l.ended(context.Background(), <-l.ends)
+		assert.False(t, l.over, "the request must be tried elsewhere")
+		assert.Empty(t, caller.chunks)
+		assert.False(t, l.ran)
+	})
+}
