Check the metrics of both nodes of a pair against the pages

Which node decides for a request depends on its homes, so that a scrape of one node alone could miss names and the verdict could differ from run to run.

--- a/internal/node/server/metrics_test.go
+++ b/internal/node/server/metrics_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cicadamill/cicadamill/internal/config/admin"
+	"github.com/cicadamill/cicadamill/internal/node/server"
 	"github.com/cicadamill/cicadamill/internal/standin/embed"
 )
 
@@ -20,6 +22,7 @@
 // explain. The page on nodes and configuration has all the others.
 var pages = map[string][]string{
 	"stream.md":  {"stream_"},
+	"decide.md":  {"decide_"},
 	"fleet.md":   {"fleet_", "drain_"},
 	"effects.md": {"effects_", "ledger_", "service_", "target_failures", "orders", "lease_"},
 }
@@ -32,27 +35,38 @@
 // reportPause is longer than the interval in which values reach the page.
 const reportPause = 3 * time.Second
 
-// scraped returns the names on the metrics page of a node that has answered
-// and refused some requests, without the common prefix.
+// scraped returns the names on the metrics pages of two nodes that have
+// answered and refused some requests, without the common prefix.
 func scraped(t *testing.T) map[string]bool {
 	t.Helper()
-	first, _, text := pair(t)
-	_, _ = ask(t, first.Caller, embed.MembersKey, "What do posts cost?", true)
-	_, _ = ask(t, first.Caller, "wrong", "What do posts cost?", true)
-	_, err := client(first.Operator).Submit(t.Context(), admin.Submission{Nonce: "n", Text: "{}"})
-	require.Error(t, err)
-	_, err = client(first.Operator).Submit(t.Context(), admin.Submission{Nonce: "m", Text: text})
-	require.NoError(t, err)
+	first, second, text := pair(t)
 	names := map[string]bool{}
+	for _, node := range []server.Addresses{first, second} {
+		_, _ = ask(t, node.Caller, embed.MembersKey, "What do posts cost?", true)
+		_, _ = ask(t, node.Caller, "wrong", "What do posts cost?", true)
+		_, err := client(node.Operator).Submit(t.Context(), admin.Submission{Nonce: "n", Text: "{}"})
+		require.Error(t, err)
+		_, err = client(node.Operator).Submit(t.Context(), admin.Submission{Nonce: "m", Text: text})
+		require.NoError(t, err)
+	}
+	for _, node := range []server.Addresses{first, second} {
+		scrapeUntil(t, node.Operator, names, "refusals", "config_submissions_refused")
+	}
+	return names
+}
+
+// scrapeUntil gathers names until a page has all of some.
+func scrapeUntil(t *testing.T, address string, names map[string]bool, wanted ...string) {
+	t.Helper()
 	require.Eventually(t, func() bool {
-		status, page := get(t, first.Operator, "/metrics")
+		status, page := get(t, address, "/metrics")
 		require.Equal(t, http.StatusOK, status)
+		found := map[string]bool{}
 		for _, match := range regexp.MustCompile(`(?m)^# TYPE cicadamill_(\w+) `).FindAllStringSubmatch(page, -1) {
-			names[match[1]] = true
+			found[match[1]], names[match[1]] = true, true
 		}
-		return names["refusals"] && names["config_submissions_refused"]
+		return !slices.ContainsFunc(wanted, func(name string) bool { return !found[name] })
 	}, reportPause, 50*time.Millisecond)
-	return names
 }
 
 // documented returns the metrics that the tables of a page explain.
