Correct the belief by what the engine says that it found

Cause: the engine's word of cached tokens, which comes with its answer's headers, was counted and not used; a wrong belief kept the estimates wrong until the first token.

Change: it replaces the expected prefill of the request, and blocks that the engine lacked count as being computed now, so that others wait for them.

Shown by TestAnswerHeadersCorrectTheBelief, seen to fail without the correction.

--- a/internal/route/cell/cell.go
+++ b/internal/route/cell/cell.go
@@ -106,7 +106,7 @@
 	case Arrived:
 		commands = s.arrive(now, m.Job)
 	case Started:
-		s.started(m)
+		s.started(now, m)
 	case First:
 		commands = s.first(now, m)
 	case Ended:
--- a/internal/route/cell/cell_test.go
+++ b/internal/route/cell/cell_test.go
@@ -230,6 +230,20 @@
 	assert.Zero(t, b.started(t, "c").Expected, "a snapshot of the start before")
 }
 
+func TestAnswerHeadersCorrectTheBelief(t *testing.T) {
+	b := newBed(1)
+	b.tell(cell.Arrived{Job: work("a", 1, 2, 3)})
+	b.finish(b.started(t, "a"))
+	b.tell(cell.Arrived{Job: work("b", 1, 2, 3)})
+	assert.Equal(t, 100, b.state.Flights()[0].Prefill)
+	b.tell(cell.Started{Job: "b", Attempt: 1, Accepted: engine.Accepted{Incarnation: "first", CachedTokens: 2000, PromptTokens: 6100}})
+	assert.Equal(t, 4100, b.state.Flights()[0].Prefill)
+	b.tell(cell.Arrived{Job: work("c", 1, 2, 3)})
+	assert.Len(t, only[cell.Start](b.commands), 2, "the third waits for what the second computes")
+	b.tell(cell.Cancelled{Job: "b"})
+	assert.Equal(t, 2000, b.started(t, "c").Expected)
+}
+
 func TestRefusalsAreHonest(t *testing.T) {
 	tests := map[string]struct {
 		code engine.Code
--- a/internal/route/cell/end.go
+++ b/internal/route/cell/end.go
@@ -13,7 +13,7 @@
 const busyBackOff = 100 * time.Millisecond
 
 // started takes the engine's word of what it found in its cache.
-func (s *State) started(m Started) {
+func (s *State) started(now time.Time, m Started) {
 	r, ok := s.running[m.Job]
 	if !ok || r.attempt != m.Attempt || r.phase == waits {
 		return
@@ -27,6 +27,28 @@
 		t.WeightVersion = m.Accepted.WeightVersion
 	}
 	s.count.Found += uint64(max(0, m.Accepted.CachedTokens))
+	if m.Accepted.PromptTokens > 0 {
+		r.correct(now, m.Accepted.CachedTokens)
+	}
+}
+
+// correct replaces the expected prefill of a request by what the engine found.
+// Blocks that it lacked are computed by this request now.
+func (r *run) correct(now time.Time, cachedTokens int) {
+	if r.phase != prefills || r.job.BlockTokens <= 0 {
+		return
+	}
+	found := max(0, min(cachedTokens/r.job.BlockTokens, len(r.job.Blocks)))
+	prefill := r.uncached(found)
+	r.target.load.Adjust(now, prefill-r.prefill)
+	r.prefill = prefill
+	if found >= r.cached {
+		return
+	}
+	for _, block := range r.job.Blocks[found:r.cached] {
+		r.target.leads[block] = r.job.ID
+	}
+	r.cached = found
 }
 
 // first settles a request's prefill once its first token has come.
--- a/internal/route/cell/property_test.go
+++ b/internal/route/cell/property_test.go
@@ -30,7 +30,11 @@
 
 const chaosEngines = 4
 
+// incarnation names the present start of an engine; all begin with "first".
 func (c *chaos) incarnation(target string) string {
+	if c.engines[target] == 0 {
+		return "first"
+	}
 	return fmt.Sprintf("%s-%d", target, c.engines[target])
 }
 
@@ -119,6 +123,10 @@
 		delete(c.open, s.Job)
 		c.over[s.Job] = true
 		c.do(cell.Cancelled{Job: s.Job})
+	case what == 10 && running && rapid.Bool().Draw(c.t, "accepted"):
+		c.do(cell.Started{Job: s.Job, Attempt: s.Attempt, Accepted: engine.Accepted{
+			Incarnation: c.incarnation(s.Target), CachedTokens: rapid.IntRange(0, 20000).Draw(c.t, "cached"), PromptTokens: 1,
+		}})
 	case what == 10 && running:
 		c.do(cell.First{Job: s.Job, Attempt: s.Attempt})
 	case what == 11 && running:
--- a/internal/route/load/load.go
+++ b/internal/route/load/load.go
@@ -70,6 +70,12 @@
 	e.keep(now)
 }
 
+// Adjust corrects the prompt tokens of a call that has started.
+func (e *Engine) Adjust(now time.Time, tokens int) {
+	e.prefill += tokens
+	e.keep(now)
+}
+
 // First frees the prompt tokens of a call whose first token came.
 func (e *Engine) First(now time.Time, tokens int) {
 	e.prefill -= tokens
