--- /dev/null
+++ b/internal/tool/paint/paint_test.go
@@ -0,0 +1,37 @@
+package paint_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadamill/cicadamill/internal/tool/bench"
+	"github.com/cicadamill/cicadamill/internal/tool/judge"
+	"github.com/cicadamill/cicadamill/internal/tool/paint"
+	"github.com/cicadamill/cicadamill/internal/tool/score"
+)
+
+func rows() []bench.Row {
+	return []bench.Row{
+		{Site: "kochi", Load: "steady", Policy: "home", Result: score.Result{HitRate: 0.8, Ceiling: 0.9, Tail: []float64{10, 30, 20}}},
+		{Site: "kochi", Load: "steady", Policy: "leastLoaded", Result: score.Result{HitRate: 0.4, Tail: []float64{50, 40, 60}}},
+	}
+}
+
+func TestPaints(t *testing.T) {
+	var table, verdicts, figures, plot bytes.Buffer
+	require.NoError(t, paint.Table(&table, rows()))
+	require.NoError(t, paint.Verdicts(&verdicts, judge.All(rows(), "home")))
+	require.NoError(t, paint.JSON(&figures, rows()))
+	require.NoError(t, paint.Plot(&plot, rows(), "kochi", "steady"))
+	assert.Equal(t, 3, bytes.Count(table.Bytes(), []byte("\n")))
+	assert.Contains(t, verdicts.String(), "hit rate by ceiling")
+	assert.Contains(t, verdicts.String(), "false", "0.8 of 0.9 misses the target")
+	var read []bench.Row
+	require.NoError(t, json.Unmarshal(figures.Bytes(), &read))
+	assert.Equal(t, rows(), read)
+	assert.Contains(t, plot.String(), "<svg")
+}
