--- /dev/null
+++ b/internal/tool/sizing/sizing_test.go
@@ -0,0 +1,53 @@
+package sizing_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadamill/cicadamill/internal/tool/sizing"
+)
+
+func TestRecordedSlopesAreComplete(t *testing.T) {
+	slopes, err := sizing.Recorded()
+	require.NoError(t, err)
+	_, err = sizing.Work(sizing.TwoYears(), slopes)
+	require.NoError(t, err)
+	for name, slope := range slopes {
+		assert.NotZero(t, slope.Value, name)
+		assert.NotEmpty(t, slope.Unit, name)
+		assert.NotEmpty(t, slope.Command, name)
+		assert.NotEmpty(t, slope.Range, name)
+		assert.NotEmpty(t, slope.Reach, name)
+	}
+}
+
+func TestMissingSlopeIsNamed(t *testing.T) {
+	_, err := sizing.Work(sizing.Today(), sizing.Slopes{})
+	var missing *sizing.MissingError
+	require.ErrorAs(t, err, &missing)
+	assert.NotEmpty(t, missing.Name)
+}
+
+func TestCostGrowsWithTheFleet(t *testing.T) {
+	slopes, err := sizing.Recorded()
+	require.NoError(t, err)
+	small, err := sizing.Work(sizing.TwoYears(), slopes)
+	require.NoError(t, err)
+	fleet := sizing.TwoYears()
+	fleet.Requests *= 2
+	large, err := sizing.Work(fleet, slopes)
+	require.NoError(t, err)
+	before, _ := small.Total()
+	after, _ := large.Total()
+	assert.Greater(t, after.Core, before.Core)
+}
+
+func ExampleWork() {
+	slopes, _ := sizing.Recorded()
+	plan, _ := sizing.Work(sizing.TwoYears(), slopes)
+	fmt.Println(plan.Roles[0].Name)
+	// Output: entry
+}
