Give cells to nodes evenly, with bounded load on top of rendezvous

Cause: at the planned size plain rendezvous hashing of 432 cells over 480 nodes leaves 184 nodes without any cell and gives one node 5 cells with 127 engines, 5.5 times the mean: its relay, its load reports and its decisions would cost that much more than planned.

Change: each cell goes to its first node by rendezvous that has room, up to 1.25 times the mean of its data centre; a node without a cell always has room. The assignment is computed again only when nodes or cells change. Ways weighed: smaller cells (knows less per decision, more state), several homes a cell (no exact counts), a table of homes in the store (needs the store).

Before (go test -bench Homes ./internal/tool/sizing): most cells on a node 5, most engines 127, nodes with cells 296. After: 1, 38 (1.66 times the mean), 432; 2.6 ms to assign all, 16 us to rank. TestFewCellsMoveWithANode bounds what moves when a node goes; without the bound on load TestNoNodeHasMuchMoreThanItsPart fails.

Nodes that disagree about the assignment still cost only hits.

--- a/internal/fleet/homes/homes.go
+++ b/internal/fleet/homes/homes.go
@@ -26,6 +26,7 @@
 type State struct {
 	nodes []candidate
 	gone  map[string]time.Time
+	given given
 }
 
 type candidate struct {
@@ -45,7 +46,7 @@
 // now on, and for some time after that, so that a flapping node moves no cells.
 // One that was not there before counts at once.
 func (s State) Update(now time.Time, nodes []Node) State {
-	next := State{gone: map[string]time.Time{}, nodes: make([]candidate, 0, len(nodes))}
+	next := State{given: s.given, gone: map[string]time.Time{}, nodes: make([]candidate, 0, len(nodes))}
 	for _, n := range nodes {
 		if n.Up {
 			next.nodes = append(next.nodes, candidate{Node: n, hash: xxh3.HashString(n.Name)})
@@ -73,17 +74,18 @@
 	return next
 }
 
-// Rank returns the names of the first count homes of a cell, best first. Nodes
-// in the cell's data centre come before all others.
+// Rank returns the names of the first count homes of a cell, best first: the
+// node that [State.Balance] gave it, then nodes in the cell's data centre, then
+// all others, each by rendezvous.
 func (s State) Rank(now time.Time, cell, dataCentre string, count int) []string {
-	key := xxh3.HashString(cell)
+	key, given := xxh3.HashString(cell), s.given.homes[cell]
 	best := make([]scored, 0, count+1)
 	for i := range s.nodes {
 		c := &s.nodes[i]
 		if now.Before(c.from) {
 			continue
 		}
-		next := scored{name: c.Name, near: c.DataCentre == dataCentre, score: mix(key ^ c.hash)}
+		next := scored{name: c.Name, given: c.Name == given, near: c.DataCentre == dataCentre, score: mix(key ^ c.hash)}
 		if len(best) == count && !next.beats(best[count-1]) {
 			continue
 		}
@@ -103,12 +105,15 @@
 
 type scored struct {
 	name  string
+	given bool
 	near  bool
 	score uint64
 }
 
 func (a scored) beats(b scored) bool {
 	switch {
+	case a.given != b.given:
+		return a.given
 	case a.near != b.near:
 		return a.near
 	case a.score != b.score:
--- a/internal/fleet/homes/homes_test.go
+++ b/internal/fleet/homes/homes_test.go
@@ -92,6 +92,78 @@
 	}
 }
 
+// cells returns cells of one data centre.
+func cells(count int) []homes.Cell {
+	var all []homes.Cell
+	for i := range count {
+		all = append(all, homes.Cell{ID: fmt.Sprint("cell-", i), DataCentre: "dc-0", Weight: 20 + float64(i%10)})
+	}
+	return all
+}
+
+// TestNoNodeHasMuchMoreThanItsPart draws fleets and cells and bounds what the
+// most loaded node has.
+func TestNoNodeHasMuchMoreThanItsPart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := fleet(2 * rapid.IntRange(1, 30).Draw(t, "nodes"))
+		all := cells(rapid.IntRange(1, 200).Draw(t, "cells"))
+		s := homes.New().Update(start, nodes).Balance(start, all)
+		load, total, largest := map[string]float64{}, 0.0, 0.0
+		for _, cell := range all {
+			load[home(s, start, cell.ID)] += cell.Weight
+			total, largest = total+cell.Weight, max(largest, cell.Weight)
+		}
+		bound := max(largest, 1.25*total/float64(len(nodes)/2)+largest)
+		for name, weight := range load {
+			if weight > bound {
+				t.Fatalf("%s has %.0f of %.0f on %d nodes", name, weight, total, len(nodes)/2)
+			}
+		}
+	})
+}
+
+// TestFewCellsMoveWithANode takes each node away in turn: the cells that it had
+// must move, and few others with them.
+func TestFewCellsMoveWithANode(t *testing.T) {
+	nodes, all := fleet(106), cells(48)
+	s := homes.New().Update(start, nodes).Balance(start, all)
+	moved, had := 0, 0
+	for gone := range nodes {
+		less := append([]homes.Node{}, nodes...)
+		less[gone].Up = false
+		after := s.Update(start, less).Balance(start, all)
+		for _, cell := range all {
+			before := home(s, start, cell.ID)
+			if before == nodes[gone].Name {
+				had++
+			}
+			if home(after, start, cell.ID) != before {
+				moved++
+			}
+		}
+	}
+	assert.Equal(t, len(all), had)
+	assert.Less(t, moved, 4*had, "cells that moved, of %d that had to", had)
+}
+
+func TestBalanceFollowsNodesAndCells(t *testing.T) {
+	all := cells(12)
+	s := homes.New().Update(start, fleet(8)).Balance(start, all)
+	before := home(s, start, "cell-0")
+	less := fleet(8)
+	for i := range less {
+		less[i].Up = less[i].Name != before
+	}
+	s = s.Update(start, less).Balance(start, all)
+	assert.NotEqual(t, before, home(s, start, "cell-0"))
+	s = s.Update(start, fleet(8)).Balance(start, all)
+	assert.NotEqual(t, before, home(s, start, "cell-0"), "a node that was away waits")
+	later := start.Add(10 * time.Second)
+	s = s.Balance(later, all)
+	assert.Equal(t, before, home(s, later, "cell-0"))
+	assert.Empty(t, homes.New().Balance(start, all).Rank(start, "cell-0", "dc-0", 1))
+}
+
 func ExampleState_Rank() {
 	state := homes.New().Update(time.Unix(0, 0), []homes.Node{
 		{Name: "node-1", DataCentre: "tema", Up: true}, {Name: "node-2", DataCentre: "kasoa", Up: true},
--- a/internal/node/cells/cells.go
+++ b/internal/node/cells/cells.go
@@ -101,6 +101,13 @@
 	}
 }
 
+// Cells returns the cells of the configuration in force.
+func (s *Set) Cells() []group.Cell {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.groups.Cells()
+}
+
 // Apply gives every loop the engines of a new configuration. A cell that is no
 // more gets no new work; what runs on it ends in peace.
 func (s *Set) Apply(ctx context.Context, config site.Config) {
--- a/internal/node/gossip/gossip.go
+++ b/internal/node/gossip/gossip.go
@@ -38,6 +38,8 @@
 	// Dial finds the client of an engine, to learn the incarnation of a target
 	// that the list shows as leaving.
 	Dial func(target string) (engine.Client, bool)
+	// Cells returns the cells that have homes.
+	Cells func() []homes.Cell
 	// Crashes returns what this node knows of requests that crash engines.
 	Crashes func() []crash.Entry
 	// HearCrashes takes what other nodes know of them.
@@ -298,7 +300,11 @@
 	}
 	g.since = now
 	candidates := g.candidates()
-	g.homes = g.homes.Update(time.Now(), candidates)
+	at := time.Now()
+	g.homes = g.homes.Update(at, candidates)
+	if g.options.Cells != nil {
+		g.homes = g.homes.Balance(at, g.options.Cells())
+	}
 	up := 0
 	for _, c := range candidates {
 		if c.Up {
--- a/internal/node/server/fleet.go
+++ b/internal/node/server/fleet.go
@@ -13,6 +13,7 @@
 
 	"github.com/cicadamill/cicadamill/internal/config/local"
 	"github.com/cicadamill/cicadamill/internal/entry/limit"
+	"github.com/cicadamill/cicadamill/internal/fleet/homes"
 	"github.com/cicadamill/cicadamill/internal/fleet/member"
 	"github.com/cicadamill/cicadamill/internal/node/cells"
 	"github.com/cicadamill/cicadamill/internal/node/flow"
@@ -122,7 +123,7 @@
 			Name: s.settings.Name, Address: f.listener.Addr().String(), DataCentre: s.settings.DataCentre,
 			Incarnation: uint64(time.Now().UnixMilli()), Seed: rand.Uint64(), Peers: s.settings.Peers,
 		},
-		Peers: peers, Dial: s.dial, Crashes: s.streams.guard.Entries, HearCrashes: s.streams.guard.Hear,
+		Peers: peers, Dial: s.dial, Cells: f.cells, Crashes: s.streams.guard.Entries, HearCrashes: s.streams.guard.Hear,
 		Leaving: f.targetLeaving, Heard: f.newer, Scope: f.scope(), Logger: s.logger,
 	}
 	if s.settings.HostsAddress != "" {
@@ -131,6 +132,16 @@
 	return options
 }
 
+// cells lists the cells that have homes, weighed by their engines.
+func (f *fleet) cells() []homes.Cell {
+	all := f.server.cells.Cells()
+	weighed := make([]homes.Cell, 0, len(all))
+	for _, c := range all {
+		weighed = append(weighed, homes.Cell{ID: c.ID, DataCentre: c.DataCentre, Weight: float64(len(c.Engines))})
+	}
+	return weighed
+}
+
 // add puts the parts that run into the supervisor.
 func (f *fleet) add(supervisor *suture.Supervisor) {
 	if f.gossip == nil {
--- a/internal/tool/sizing/derive_test.go
+++ b/internal/tool/sizing/derive_test.go
@@ -59,6 +59,12 @@
 		b.ReportMetric(float64(heap()-before), "kept-B")
 		runtime.KeepAlive(kept)
 	})
+	b.Run("shares", func(b *testing.B) {
+		groups := group.New(config)
+		for b.Loop() {
+			groups = groups.With(config)
+		}
+	})
 	b.Run("keys", func(b *testing.B) {
 		before := heap()
 		var kept auth.Keys
@@ -87,7 +93,14 @@
 		nodes[i] = homes.Node{Name: fmt.Sprintf("node-%03d", i), DataCentre: fmt.Sprintf("dc-%d", i%int(fleet.DataCentres)), Up: true}
 	}
 	now := time.Unix(0, 0)
+	var weighed []homes.Cell
+	for _, cell := range cells {
+		weighed = append(weighed, homes.Cell{ID: cell.ID, DataCentre: cell.DataCentre, Weight: float64(len(cell.Engines))})
+	}
 	state := homes.New().Update(now, nodes)
+	began := time.Now()
+	state = state.Balance(now, weighed)
+	balance := time.Since(began)
 	held, engines := map[string]int{}, map[string]int{}
 	for _, cell := range cells {
 		home := state.Rank(now, cell.ID, cell.DataCentre, 1)[0]
@@ -97,6 +110,9 @@
 	for b.Loop() {
 		state.Rank(now, cells[0].ID, cells[0].DataCentre, 2)
 	}
+	b.ReportMetric(float64(balance.Nanoseconds()), "balance-ns")
+	mean := fleet.Engines / fleet.Nodes
+	b.ReportMetric(float64(most(engines))/mean, "most/mean")
 	b.ReportMetric(float64(len(cells)), "cells")
 	b.ReportMetric(float64(most(held)), "most-cells/node")
 	b.ReportMetric(float64(most(engines)), "most-engines/node")
