--- a/cmd/cicadamill/main.go
+++ b/cmd/cicadamill/main.go
@@ -25,13 +25,14 @@
 
 // args holds one field for each command; its type lies in the command's file.
 type args struct {
-	Serve   *serveCommand   `arg:"subcommand:serve" help:"run a node"`
-	Config  *configCommand  `arg:"subcommand:config" help:"check, submit, show and compare configurations"`
-	Status  *statusCommand  `arg:"subcommand:status" help:"print nodes, targets and loads as a node sees them"`
-	Measure *measureCommand `arg:"subcommand:measure" help:"measure routing decisions in virtual time"`
-	Load    *loadCommand    `arg:"subcommand:load" help:"send a seeded load and check the answers"`
-	Standin *standinCommand `arg:"subcommand:standin" help:"run a stand-in of an engine, the platform or a service"`
-	Version *versionCommand `arg:"subcommand:version" help:"print the version"`
+	Serve    *serveCommand    `arg:"subcommand:serve" help:"run a node"`
+	Config   *configCommand   `arg:"subcommand:config" help:"check, submit, show and compare configurations"`
+	Status   *statusCommand   `arg:"subcommand:status" help:"print nodes, targets and loads as a node sees them"`
+	Measure  *measureCommand  `arg:"subcommand:measure" help:"measure routing decisions in virtual time"`
+	Load     *loadCommand     `arg:"subcommand:load" help:"send a seeded load and check the answers"`
+	Standin  *standinCommand  `arg:"subcommand:standin" help:"run a stand-in of an engine, the platform or a service"`
+	Capacity *capacityCommand `arg:"subcommand:capacity" help:"work out what each role costs a node at the planned size"`
+	Version  *versionCommand  `arg:"subcommand:version" help:"print the version"`
 }
 
 // command is what each command's type implements.
--- a/internal/tool/sizing/budget.go
+++ b/internal/tool/sizing/budget.go
@@ -3,16 +3,22 @@
 // table shares out the platform's table.
 func (a *arithmetic) table() []Share {
 	return []Share{
-		{Use: "calls that must not repeat", Writes: 2 * a.effects() / a.of("callsPerTransaction"), Reads: 0},
-		{Use: "sweep of expired calls", Writes: a.effects() / a.of("sweepPage"), Reads: 2 * a.fleet.Nodes / secondsPerSweep},
+		{Use: "calls that must not repeat", Writes: a.effects() * a.of("effectTransactions")},
+		{Use: "sweep of expired calls", Writes: 2 * a.effects() / a.of("sweepPage"), Reads: 2 * a.fleet.Nodes / secondsPerSweep},
 		{Use: "configuration head", Reads: a.of("configReads")},
 		{Use: "configuration changes", Writes: a.changes(), Reads: 2 * a.changes()},
-		{Use: "leases", Writes: a.fleet.DataCentres * a.of("leaseWrites"), Reads: a.fleet.Nodes * a.of("leaseReads")},
+		{Use: "leases", Writes: a.of("leaseWrites"), Reads: a.fleet.Nodes * a.of("leaseReads")},
 	}
 }
 
 const secondsPerSweep = 60
 
+// MostEffects returns how many calls that must not repeat the platform's table
+// carries in a second when each node has less than one at a time.
+func MostEffects(fleet Fleet, slopes Slopes) float64 {
+	return fleet.TableWrites / slopes["effectTransactions"].Value
+}
+
 // days works out the worst days.
 func (a *arithmetic) days() []Day {
 	rack := 20.0
--- a/internal/tool/sizing/plan.go
+++ b/internal/tool/sizing/plan.go
@@ -10,9 +10,9 @@
 	// hopsPerRequest is how many nodes relay an answer: the entry node and the
 	// cell's home.
 	hopsPerRequest = 2
-	// effectsPerRequest is the part of requests that are calls that must not
-	// repeat, in addition to the chat requests.
-	effectsPerRequest = 0.02
+	// effectsPerRequest is how many calls that must not repeat come with each
+	// chat request.
+	effectsPerRequest = 0.005
 	// effectSeconds is how long such a call is open.
 	effectSeconds = 1
 	// loadInterval is the time between two load reports of one engine.
--- a/internal/tool/sizing/print.go
+++ b/internal/tool/sizing/print.go
@@ -28,6 +28,9 @@
 	fmt.Fprintf(b, "| role | mechanism | state | messages/s | control: core | memory | bytes/s | data: cores | memory | bytes/s |\n")
 	fmt.Fprintf(b, "|---|---|---|---|---|---|---|---|---|---|\n")
 	for _, r := range plan.Roles {
+		if r.Alone {
+			r.Name += " (one node for all)"
+		}
 		fmt.Fprintf(b, "| %s | %s | %s | %s | %s | %s | %s | %.2f | %s | %s |\n", r.Name, r.Mechanism, r.State,
 			number(r.Control.Messages+r.Data.Messages), percent(r.Control.Core), size(r.Control.Memory), size(r.Control.Network),
 			r.Data.Core, size(r.Data.Memory), size(r.Data.Network))
--- a/internal/tool/sizing/role.go
+++ b/internal/tool/sizing/role.go
@@ -29,6 +29,9 @@
 	Mechanism string
 	// State is what it remembers.
 	State string
+	// Alone is true for a duty that one node of the fleet has for all; its cost
+	// is not in the sum of every node.
+	Alone bool
 	// Control is its cost as far as it counts as control.
 	Control Cost
 	// Data is its cost in carrying requests and answers.
@@ -47,9 +50,12 @@
 	Days []Day
 }
 
-// Total returns the sum over all roles.
+// Total returns the sum over the roles that every node has.
 func (p Plan) Total() (control, data Cost) {
 	for _, role := range p.Roles {
+		if role.Alone {
+			continue
+		}
 		control = control.plus(role.Control)
 		data = data.plus(role.Data)
 	}
--- a/internal/tool/sizing/roles.go
+++ b/internal/tool/sizing/roles.go
@@ -57,7 +57,7 @@
 
 // configuration brings every accepted change into force.
 func (a *arithmetic) configuration() Role {
-	derive := a.of("deriveShares") + engineChanges*a.of("deriveEngines")
+	derive := a.of("deriveShares") + a.of("deriveKeys") + engineChanges*a.of("deriveEngines")
 	return Role{
 		Name: "configuration", Mechanism: "one row by compare-and-set; changes pass between nodes; a slow poll as the floor",
 		State: "the configuration in force and the one before, 64 changes",
@@ -75,16 +75,17 @@
 		Name: "ledger", Mechanism: "one conditional write before dispatch, many calls in one transaction",
 		State:   "calls under way",
 		Control: Cost{Memory: effects * effectSeconds * a.of("effectState")},
-		Data:    Cost{Core: effects * a.of("effectCall") / nanos, Network: effects * a.of("effectBytes"), Messages: effects},
+		Data:    Cost{Core: effects * a.of("effectCall") / nanos, Messages: effects},
 	}
 }
 
-// orders reconciles what engines serve, on the holder of each lease.
+// orders reconciles what engines serve, on the one holder of the lease.
 func (a *arithmetic) orders() Role {
+	reports := a.fleet.Engines * a.of("orderReports")
 	return Role{
-		Name: "orders", Mechanism: "a lease a site in the table, level-triggered reconcile",
-		State:   "what each engine serves, on the holder alone",
-		Control: Cost{Core: a.fleet.Engines / a.fleet.DataCentres * a.of("orderTick") / nanos, Memory: a.fleet.Engines / a.fleet.DataCentres * a.of("orderState")},
+		Name: "orders", Alone: true, Mechanism: "a lease in the table, level-triggered reconcile",
+		State:   "what each engine serves",
+		Control: Cost{Core: reports * a.of("pollCall") / nanos, Network: reports * a.of("loadBytes"), Messages: reports},
 	}
 }
 
