--- a/internal/tool/sizing/roles.go
+++ b/internal/tool/sizing/roles.go
@@ -3,7 +3,7 @@
 // entry takes requests in: it finds the workspace and the cell, and relays.
 func (a *arithmetic) entry() Role {
 	decide := a.of("keyLookup") + a.of("cellChoice")
-	relay := a.perNode(a.fleet.Tokens) * a.of("relayChunk") * hopsPerRequest
+	relay := a.perNode(a.fleet.Tokens) * a.of("relayChunk")
 	hash := a.requests() * promptBytes / kilobyte * a.of("hashPrompt")
 	return Role{
 		Name: "entry", Mechanism: "hash chain, computed cell and home, relay",
--- a/internal/tool/sizing/sizing_test.go
+++ b/internal/tool/sizing/sizing_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -45,6 +47,19 @@
 	assert.Greater(t, after.Core, before.Core)
 }
 
+// TestPageIsWhatTheSlopesGive holds docs/CAPACITY.md to the arithmetic.
+func TestPageIsWhatTheSlopesGive(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/CAPACITY.md")
+	require.NoError(t, err)
+	slopes, err := sizing.Recorded()
+	require.NoError(t, err)
+	plan, err := sizing.Work(sizing.TwoYears(), slopes)
+	require.NoError(t, err)
+	var tables strings.Builder
+	require.NoError(t, sizing.Print(&tables, plan, slopes))
+	assert.Contains(t, string(page), tables.String(), "print the tables again with: cicadamill capacity")
+}
+
 func ExampleWork() {
 	slopes, _ := sizing.Recorded()
 	plan, _ := sizing.Work(sizing.TwoYears(), slopes)
