Count the table's reads of a large fleet on the slices alone

480 followers with their goroutines in one process crashed the race detector's own runtime in two of three runs ("ThreadSanitizer: CHECK failed: tsan_rtl.cpp"), no race was reported. The follower ticks twice a second instead of ten times.

--- a/internal/config/sync/sync_test.go
+++ b/internal/config/sync/sync_test.go
@@ -126,3 +126,57 @@
 	}
 	assert.Less(t, len(fmt.Sprintf("%+v", state)), 5000)
 }
+
+// TestReadsDoNotGrowWithTheFleet runs the slices of whole fleets in step for
+// ten minutes, with a change every five seconds that each node hears of.
+func TestReadsDoNotGrowWithTheFleet(t *testing.T) {
+	const step, span = 500 * time.Millisecond, 10 * time.Minute
+	for _, nodes := range []int{8, 480} {
+		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
+			states := make([]sync.State, nodes)
+			for i := range states {
+				states[i], _ = sync.New(uint64(i+1)).Update(begin, sync.Peers{Addresses: []string{"a", "b"}, Nodes: nodes})
+			}
+			reads, version := 0, uint64(0)
+			for at := time.Duration(0); at < span; at += step {
+				if at%(5*time.Second) == 0 {
+					version++
+				}
+				for i := range states {
+					reads += runStep(&states[i], begin.Add(at), version)
+				}
+			}
+			rate := float64(reads) / span.Seconds()
+			t.Logf("%d nodes: %.2f reads of the table a second", nodes, rate)
+			assert.Less(t, rate, 6.0)
+			for _, state := range states {
+				require.Equal(t, version, state.Version())
+			}
+		})
+	}
+}
+
+// runStep carries out what one node wants and returns its reads of the table.
+func runStep(state *sync.State, now time.Time, version uint64) int {
+	reads := 0
+	queue := []sync.Message{sync.Heard{Peer: "a", Version: version}, sync.Tick{}}
+	for len(queue) > 0 {
+		message := queue[0]
+		queue = queue[1:]
+		var commands []sync.Command
+		*state, commands = state.Update(now, message)
+		for _, command := range commands {
+			switch command.(type) {
+			case sync.ReadHead:
+				reads++
+				queue = append(queue, sync.HeadRead{Version: version, Sum: "x"})
+			case sync.FetchPeer:
+				queue = append(queue, sync.Offered{Version: version, Sum: "x", From: "a", Fetched: true})
+			case sync.FetchTable:
+				reads++
+				queue = append(queue, sync.Offered{Version: version, Sum: "x", Fetched: true})
+			}
+		}
+	}
+	return reads
+}
--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	tickInterval = 100 * time.Millisecond
+	tickInterval = 500 * time.Millisecond
 	fetchTimeout = 2 * time.Second
 	tellTimeout  = time.Second
 	inboxLength  = 256
