--- a/internal/fleet/member/fault_test.go
+++ b/internal/fleet/member/fault_test.go
@@ -156,6 +156,26 @@
 	assert.Equal(t, note.Dead, state.Nodes()[1].State)
 }
 
+// TestContactRenewsPatience sees a suspect that shows itself get the whole time
+// again, in which it refutes.
+func TestContactRenewsPatience(t *testing.T) {
+	state := member.New(member.Options{Name: "a", Incarnation: 1})
+	now := time.Unix(0, 0)
+	b := note.Entry{Name: "b", Address: "b", Incarnation: 1, State: note.Alive}
+	suspect := b
+	suspect.State, suspect.By = note.Suspect, "c"
+	feed := func(m member.Message) { state, _ = state.Update(now, m) }
+	feed(member.Received{Note: note.Note{From: note.Entry{Name: "c", Address: "c", Incarnation: 1, State: note.Alive}, Entries: []note.Entry{suspect}}})
+	for i := range 25 {
+		feed(member.Tick{})
+		now = now.Add(member.TickInterval)
+		if i == 10 {
+			feed(member.Received{Note: note.Note{From: b}})
+		}
+	}
+	assert.Equal(t, note.Suspect, state.Nodes()[1].State)
+}
+
 // TestNewsReachAll sees marks of targets, crashes and versions reach every node
 // within the seconds that the promises give.
 func TestNewsReachAll(t *testing.T) {
