--- a/internal/fleet/member/bytes_test.go
+++ b/internal/fleet/member/bytes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -122,3 +123,22 @@
 		})
 	}
 }
+
+// BenchmarkMemory reports the bytes of state that one more known node takes.
+func BenchmarkMemory(b *testing.B) {
+	const count = 2000
+	for b.Loop() {
+		var before, after runtime.MemStats
+		state := member.New(member.Options{Name: "a", Address: "a", Incarnation: 1})
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for i := range count {
+			from := note.Entry{Name: name(i), Address: address(i), DataCentre: dataCentre(i), Incarnation: uint64(1_700_000_000_000 + i), State: note.Alive}
+			state, _ = state.Update(time.Unix(int64(i), 0), member.Received{Note: note.Note{From: from}})
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/count, "B/node")
+		runtime.KeepAlive(state)
+	}
+}
