Give a cell its engines before its first request can arrive

Cause: the loop of a cell was found by a second request before the list of engines was sent to it, and that request was refused with "noEngine"; seen in one run of all tests.

Change: a loop's list is sent under the lock that hands the loop out; so are the lists of a new configuration, which can't cross any more.

--- a/internal/node/cells/cells.go
+++ b/internal/node/cells/cells.go
@@ -105,19 +105,15 @@
 // more gets no new work; what runs on it ends in peace.
 func (s *Set) Apply(ctx context.Context, config site.Config) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.groups = s.groups.With(config)
 	s.byID = map[string]group.Cell{}
 	for _, c := range s.groups.Cells() {
 		s.byID[c.ID] = c
 	}
 	s.all = s.options.Targets(config)
-	var open []*entry
 	for _, e := range s.loops {
 		e.engines = s.enginesOf(e.id)
-		open = append(open, e)
-	}
-	s.mu.Unlock()
-	for _, e := range open {
 		s.inform(ctx, e)
 	}
 }
@@ -195,22 +191,19 @@
 // open finds or starts the loop of a cell and keeps it from ending.
 func (s *Set) open(ctx context.Context, id string) (*entry, error) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	if e, ok := s.loops[id]; ok {
 		e.users++
-		s.mu.Unlock()
 		return e, nil
 	}
 	engines := s.enginesOf(id)
 	if len(engines) == 0 {
-		s.mu.Unlock()
 		return nil, refusal("unknownCell", "this node's configuration has no cell "+strconv.Quote(id))
 	}
 	if len(s.loops) >= maxLoops && !s.evict() {
-		s.mu.Unlock()
 		return nil, refusal("tooManyCells", "this node decides for too many cells")
 	}
 	e := s.start(id, engines)
-	s.mu.Unlock()
 	s.inform(ctx, e)
 	return e, nil
 }
@@ -230,13 +223,12 @@
 	return e
 }
 
-// inform sends a loop its engines and which of them are leaving.
+// inform sends a loop its engines and which of them are leaving. The caller holds
+// the lock, so that no request arrives before and no older list after.
 func (s *Set) inform(ctx context.Context, e *entry) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), sendTimeout)
 	defer cancel()
-	s.mu.Lock()
 	message, engines := s.all, e.engines
-	s.mu.Unlock()
 	all := message.All
 	message.All = nil
 	for _, t := range all {
