Let requests name the weights that most engines serve

Better, not solved: the cell's view of an engine's version is up to a poll old, and at three engines half is one engine.

--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -39,6 +39,7 @@
 	ready    chan Addresses
 	watch    watch
 	reports  sync.Map
+	weights  weights
 	streams  streams
 }
 
@@ -101,7 +102,7 @@
 	}
 	effects := s.openEffects()
 	defer effects.close()
-	handler := s.watch.callers(effects.around(front.New(s.settings.Name, s.applied.Config, s.watch.runner(s.fleet.steer), s.streams.front)))
+	handler := s.watch.callers(effects.around(front.New(s.settings.Name, s.served, s.watch.runner(s.fleet.steer), s.streams.front)))
 	listener, err := s.listen(callers, s.settings.CallerAddress, s.settings.CallerTLS)
 	if err != nil {
 		return err
