Go on serving with the old weights while new ones are loaded

Cause: a configuration with a new weight version is in force everywhere within seconds, but engines load it two at a time, and each takes seconds. The cell excluded every engine that was known to serve another version than the configuration's, so from the change until the first load was done every request was refused with noEngine. Ruled out: raising the version only after the loads (the orders follow from the configuration), hashing the prompt for both versions (twice the hashing for a rare time).

Change: an engine with other weights may answer a new request; the attempt names the version that the engine was seen with, so that a change in between is refused by the engine and not run. Its blocks are not expected under the request's names, nothing is imported for it, and what is known of an engine's cache is dropped when its weights change. An answer that has begun, here or at another node, is bound to its weights.

Before: TestEnginesServeWhileNewWeightsAreLoaded refuses with noEngine. After: it passes; removing the bound of begun answers, or the drop of what is known, makes it or TestBlocksOfOtherWeightsAreNotExpected fail.

--- a/internal/route/cell/bring.go
+++ b/internal/route/cell/bring.go
@@ -72,7 +72,7 @@
 func (s State) source(now time.Time, r *run) source {
 	best := source{depth: s.store.depth(now, r.job.Blocks)}
 	for _, t := range s.targets {
-		if !t.usable(now) || !t.serves(r) {
+		if !t.usable(now) || !t.serves(r) || !t.names(r) {
 			continue
 		}
 		if depth := t.ready(r); depth > best.depth {
@@ -106,7 +106,7 @@
 // sent, if that is cheaper than computing them. It is tried once on an engine.
 func (s State) worthImport(now time.Time, r *run) (source, bool) {
 	t := r.target
-	if r.brought || t.cache.Incarnation() == "" {
+	if r.brought || t.cache.Incarnation() == "" || !t.names(r) {
 		return source{}, false
 	}
 	from, cached := s.source(now, r), t.cache.Depth(r.job.Blocks)
@@ -180,7 +180,7 @@
 	}
 	t := r.target
 	s.endImport(r)
-	current := t.cache.Incarnation() == m.Incarnation && t.serves(r) && r.job.WeightVersion == m.WeightVersion
+	current := t.cache.Incarnation() == m.Incarnation && t.serves(r) && t.names(r) && r.job.WeightVersion == m.WeightVersion
 	if current && m.Blocks > 0 {
 		t.cache.Touch(now, r.job.Blocks[:min(m.Blocks, len(r.job.Blocks))])
 		seen := m.Took.Seconds() / float64(m.Blocks)
--- a/internal/route/cell/end.go
+++ b/internal/route/cell/end.go
@@ -23,8 +23,11 @@
 		return
 	}
 	t.failures = 0
-	if m.Accepted.WeightVersion != "" {
-		t.WeightVersion = m.Accepted.WeightVersion
+	t.weigh(m.Accepted.WeightVersion)
+	r.answering = m.Accepted.WeightVersion
+	if !t.names(r) {
+		t.cache.Forget(r.job.Blocks)
+		r.dropLeads()
 	}
 	s.count.Found += uint64(max(0, m.Accepted.CachedTokens))
 	if m.Accepted.PromptTokens > 0 {
@@ -59,7 +62,9 @@
 	}
 	r.target.load.Learn(r.prefill+r.ahead, now.Sub(r.sent))
 	s.settle(now, r)
-	s.store.add(r.job.Blocks)
+	if r.target.names(r) {
+		s.store.add(r.job.Blocks)
+	}
 	r.phase = decodes
 	return s.dispatch(now, r.target)
 }
@@ -69,12 +74,16 @@
 	if r.phase != prefills {
 		return
 	}
-	t := r.target
-	t.load.First(now, r.prefill)
+	r.target.load.First(now, r.prefill)
 	r.prefill = 0
+	r.dropLeads()
+}
+
+// dropLeads tells those that wait for blocks of a request not to.
+func (r *run) dropLeads() {
 	for _, block := range r.job.Blocks[r.cached:] {
-		if t.leads[block] == r.job.ID {
-			delete(t.leads, block)
+		if r.target.leads[block] == r.job.ID {
+			delete(r.target.leads, block)
 		}
 	}
 }
@@ -105,6 +114,9 @@
 		return s.dispatch(now, t)
 	}
 	s.unwind(now, r)
+	if m.Sent > r.job.Offset {
+		r.weights = r.answering
+	}
 	commands := s.blame(now, t, m)
 	commands = append(commands, s.again(now, r, m)...)
 	return append(commands, s.dispatch(now, t)...)
--- a/internal/route/cell/learn.go
+++ b/internal/route/cell/learn.go
@@ -70,9 +70,7 @@
 	if t == nil || !t.meet(m.Load.Incarnation) {
 		return nil
 	}
-	if m.Load.WeightVersion != "" {
-		t.WeightVersion = m.Load.WeightVersion
-	}
+	t.weigh(m.Load.WeightVersion)
 	t.load.Report(now, m.Load)
 	if m.Load.Leaving {
 		return s.leave(now, m.Target)
--- a/internal/route/cell/run.go
+++ b/internal/route/cell/run.go
@@ -27,6 +27,11 @@
 	target  *target
 	tried   []string
 	outcome effect.Outcome
+	// weights is the version that an answer that has begun is bound to; empty
+	// before.
+	weights string
+	// answering is the version that the present attempt answers with.
+	answering string
 	// levels are the depths at which the prompt's levels end.
 	levels []int
 	// prefill are the prompt tokens counted at the engine.
--- a/internal/route/cell/spread.go
+++ b/internal/route/cell/spread.go
@@ -35,7 +35,7 @@
 	var from, best *target
 	score := 0.0
 	for _, t := range s.targets {
-		if !t.usable(now) || !t.serves(r) {
+		if !t.usable(now) || !t.serves(r) || !t.names(r) {
 			continue
 		}
 		if t.cache.Depth(r.job.Blocks) >= depth {
--- a/internal/route/cell/target.go
+++ b/internal/route/cell/target.go
@@ -67,15 +67,35 @@
 	t.backOff = now.Add(wait + time.Duration(random.Float64()*float64(wait)))
 }
 
+// names reports whether blocks that the engine computes for a request have the
+// names that the request knows them by. Other weights make other names.
+func (t *target) names(r *run) bool {
+	return t.WeightVersion == "" || r.job.WeightVersion == "" || t.WeightVersion == r.job.WeightVersion
+}
+
+// weigh takes the version of the weights that the engine was seen with. What was
+// computed with other weights is of no use any more.
+func (t *target) weigh(version string) {
+	if version == "" || version == t.WeightVersion {
+		return
+	}
+	if t.WeightVersion != "" {
+		t.cache.Clear()
+		clear(t.leads)
+	}
+	t.WeightVersion = version
+}
+
 // usable reports whether a request may be dispatched to the engine now.
 func (t *target) usable(now time.Time) bool {
 	return !t.Leaving && !t.gone && !now.Before(t.backOff)
 }
 
-// serves reports whether the engine answers a request's application with the
-// right weights.
+// serves reports whether the engine answers a request's application. While new
+// weights are loaded one engine after the other, those with the version before
+// go on serving; only an answer that has begun is bound to its weights.
 func (t *target) serves(r *run) bool {
-	if t.WeightVersion != "" && r.job.WeightVersion != "" && t.WeightVersion != r.job.WeightVersion {
+	if r.weights != "" && t.WeightVersion != "" && t.WeightVersion != r.weights {
 		return false
 	}
 	for _, application := range t.Applications {
--- a/internal/route/cell/work.go
+++ b/internal/route/cell/work.go
@@ -28,6 +28,9 @@
 	s.count.Arrived++
 	s.budget.Earn()
 	r := &run{job: j, arrived: now, outcome: effect.NotRun{}}
+	if j.Offset > 0 {
+		r.weights = j.WeightVersion
+	}
 	r.levels = s.finder.Observe(j.Blocks)
 	s.running[j.ID] = r
 	if len(s.running) > maxRunning {
@@ -150,17 +153,34 @@
 	r.cached = t.cache.Depth(r.job.Blocks)
 	r.prefill, r.ahead = r.uncached(r.cached), t.load.Prefill(now)
 	t.load.Start(now, r.prefill)
-	for _, block := range r.job.Blocks[r.cached:] {
-		t.leads[block] = r.job.ID
+	r.answering = ""
+	if t.names(r) {
+		t.expect(now, r)
 	}
-	t.cache.Touch(now, r.job.Blocks)
 	expected := r.cached * r.job.BlockTokens
 	s.count.Expected += uint64(expected)
 	s.count.Prompt += uint64(max(0, r.job.PromptTokens))
 	return Start{
 		Job: r.job.ID, Attempt: r.attempt, Target: t.Name, Incarnation: t.cache.Incarnation(),
-		WeightVersion: r.job.WeightVersion, Priority: r.priority(), Expected: expected,
+		WeightVersion: t.demanded(r), Priority: r.priority(), Expected: expected,
+	}
+}
+
+// expect takes note of the blocks that a request will leave in the cache.
+func (t *target) expect(now time.Time, r *run) {
+	for _, block := range r.job.Blocks[r.cached:] {
+		t.leads[block] = r.job.ID
+	}
+	t.cache.Touch(now, r.job.Blocks)
+}
+
+// demanded returns the version of the weights that must answer: that of the
+// answer so far, or the one that the choice was made for; empty while unknown.
+func (t *target) demanded(r *run) string {
+	if r.weights != "" {
+		return r.weights
 	}
+	return t.WeightVersion
 }
 
 func (s *State) refuse(r *run, code, text string, retry time.Duration) []Command {
--- a/internal/route/know/know.go
+++ b/internal/route/know/know.go
@@ -78,6 +78,10 @@
 	return true
 }
 
+// Clear forgets the blocks, as when the engine has loaded other weights. The
+// incarnation goes on.
+func (c *Cache) Clear() { c.blocks.Purge() }
+
 // Drop forgets everything, as when the engine has died.
 func (c *Cache) Drop() {
 	if c.incarnation != "" {
