Forget an engine's weights when it refuses for them

Cause: after an engine had loaded new weights, a request sent for the old ones was refused with "stale" and sent again with the same belief until its four attempts were used up; seen once in 24 requests through a change of weights on the embedded stand-ins. Change: the refusal clears the belief, so the next attempt takes any weights. A begun answer, which is bound to its weights, does not try that engine again. Before: TestChangeBetweenChoiceAndUseIsTriedAgain asks for version 1 again. After: it asks for none and is answered.

--- a/internal/route/cell/end.go
+++ b/internal/route/cell/end.go
@@ -134,6 +134,7 @@
 	case engine.Stale:
 		t.cache.Drop()
 		clear(t.leads)
+		t.WeightVersion = ""
 		return nil
 	case engine.Unreachable, engine.Broken, engine.Stalled:
 		t.failed(now, s.random)
@@ -170,7 +171,7 @@
 	if r.attempt >= maxAttempts {
 		return s.refuse(r, string(m.Code), "the engines gave no answer", admit.Retry(s.random, noEngineRetry))
 	}
-	if m.Code == engine.Stale {
+	if m.Code == engine.Stale && r.weights == "" {
 		r.tried = r.tried[:len(r.tried)-1]
 	}
 	s.count.Retried++
--- a/internal/route/cell/weights_test.go
+++ b/internal/route/cell/weights_test.go
@@ -74,6 +74,20 @@
 	assert.Zero(t, b.started(t, "e").Expected, "what was computed with other weights is of no use")
 }
 
+func TestChangeBetweenChoiceAndUseIsTriedAgain(t *testing.T) {
+	b := newBed(1)
+	b.load("e0", "1")
+	j := work("a", 1, 2, 3)
+	j.WeightVersion = "2"
+	b.tell(cell.Arrived{Job: j})
+	start := b.started(t, "a")
+	require.Equal(t, "1", start.WeightVersion)
+	b.tell(cell.Ended{Job: "a", Attempt: start.Attempt, Outcome: effect.NotRun{}, Code: engine.Stale})
+	again := b.started(t, "a")
+	assert.Equal(t, 2, again.Attempt)
+	assert.Empty(t, again.WeightVersion, "what the engine serves now is not known")
+}
+
 func TestAnswerThatHasBegunIsBoundToItsWeights(t *testing.T) {
 	b := newBed(3)
 	b.load("e0", "1")
