Make two tests independent of the moment

TestFaults took the object store away while the answer was still being stored; it waits for that now, and a store that is down all the time is a case of its own. TestTargetFaults took a port that was just closed for one that nobody serves; now and then the router itself got it. It uses port 0.

--- a/internal/entry/plain/plain_test.go
+++ b/internal/entry/plain/plain_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -44,12 +43,9 @@
 	return target
 }
 
-func closedAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	require.NoError(t, listener.Close())
-	return listener.Addr().String()
-}
+// nobody is an address to which no connection can be made. A port that was just
+// closed may be taken again by another listener.
+const nobody = "127.0.0.1:0"
 
 // hang up breaks the connection after the request was read.
 func hangUp(_ http.ResponseWriter, r *http.Request) {
@@ -132,7 +128,7 @@
 }
 
 func TestTargetFaults(t *testing.T) {
-	down := func(t *testing.T) string { return closedAddress(t) }
+	down := func(*testing.T) string { return nobody }
 	at := func(handler http.HandlerFunc) func(*testing.T) string {
 		return func(t *testing.T) string { return newTarget(t, handler).address }
 	}
--- a/internal/node/once/once_test.go
+++ b/internal/node/once/once_test.go
@@ -136,6 +136,7 @@
 	}
 	tests := map[string]struct {
 		fault         func(tables.Request) tables.Fault
+		objectsDown   bool
 		there, back   time.Duration
 		finished      ledger.Finished
 		digest        string
@@ -154,6 +155,7 @@
 		"target surely did not run":   {finished: refused, first: "targetRefused notRun", repeat: "targetRefused notRun"},
 		"same key, other body":        {finished: answered("a"), digest: "other", first: "a", repeat: "keyReused notRun", runs: 1},
 		"large answer":                {finished: large, first: string(large.Answer.Body), repeat: "repeated xxxxxxxx", runs: 1},
+		"large answer, store is down": {finished: large, objectsDown: true, first: string(large.Answer.Body), repeat: "answerNotKept answered", runs: 1},
 		"large answer, store is gone": {finished: large, between: func(s *site) { s.objects.SetDown(true) }, first: string(large.Answer.Body), repeat: "ledgerDown unknown", runs: 1},
 	}
 	for name, test := range tests {
@@ -161,10 +163,12 @@
 			synctest.Test(t, func(t *testing.T) {
 				s := newSite(t)
 				s.table.SetFault(test.fault)
+				s.objects.SetDown(test.objectsDown)
 				s.slow.there.Store(int64(test.there))
 				s.slow.back.Store(int64(test.back))
 				one, two := s.node(), s.node()
 				assert.Equal(t, test.first, told(one.Run(t.Context(), s.call("k", "d", 0, test.finished))))
+				synctest.Wait()
 				if test.between != nil {
 					test.between(s)
 				}
--- a/internal/platform/webtab/webtab_test.go
+++ b/internal/platform/webtab/webtab_test.go
@@ -100,10 +100,7 @@
 }
 
 func TestNoConnectionHasNoEffect(t *testing.T) {
-	server := httptest.NewServer(tables.New().Handler())
-	address := server.Listener.Addr().String()
-	server.Close()
-	err := webtab.New(address, &http.Client{}).Commit(context.Background(), table.Txn{})
+	err := webtab.New("127.0.0.1:0", &http.Client{}).Commit(context.Background(), table.Txn{})
 	var outage *table.OutageError
 	require.ErrorAs(t, err, &outage)
 	assert.False(t, outage.MayHaveApplied)
