--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -76,3 +76,48 @@
 		}
 	}
 }
+
+// TestErrorCodesAndTheirPageAgree holds docs/PROTOCOL.md to the codes that the
+// code gives to callers, and sees each of them in some test.
+func TestErrorCodesAndTheirPageAgree(t *testing.T) {
+	page, err := os.ReadFile("PROTOCOL.md")
+	require.NoError(t, err)
+	listed := map[string]bool{}
+	for _, line := range strings.Split(string(page), "\n") {
+		cells := strings.SplitN(line, "|", 3)
+		if len(cells) < 3 {
+			continue
+		}
+		for _, match := range regexp.MustCompile("`([a-z][A-Za-z]+)`").FindAllStringSubmatch(cells[1], -1) {
+			listed[match[1]] = true
+		}
+	}
+	given := regexp.MustCompile(`(?:fault\.Error\{\s*Code:|Refuse\{(?:Job: [a-zA-Z.]+, )?Code:|refusal\()\s*"([a-zA-Z]+)"`)
+	for path, code := range read(t, "internal", ".go") {
+		if strings.HasSuffix(path, "_test.go") {
+			continue
+		}
+		for _, match := range given.FindAllStringSubmatch(code, -1) {
+			assert.True(t, listed[match[1]], "%s gives %s, which PROTOCOL.md does not list", path, match[1])
+		}
+	}
+	tests := joined(read(t, "internal", "_test.go")) + joined(read(t, "cmd", "_test.go"))
+	names := constants(t)
+	for code := range listed {
+		seen := strings.Contains(tests, code) || names[code] != "" && strings.Contains(tests, "."+names[code])
+		assert.True(t, seen, "no test sees %s", code)
+	}
+}
+
+// constants returns the names of the constants that stand for codes.
+func constants(t *testing.T) map[string]string {
+	t.Helper()
+	names := map[string]string{}
+	defined := regexp.MustCompile(`(\w+)\s+(?:Code )?= "([a-z]\w+)"`)
+	for _, code := range read(t, "internal", ".go") {
+		for _, match := range defined.FindAllStringSubmatch(code, -1) {
+			names[match[2]] = match[1]
+		}
+	}
+	return names
+}
--- a/internal/entry/plain/plain_test.go
+++ b/internal/entry/plain/plain_test.go
@@ -211,6 +211,31 @@
 	}
 }
 
+func TestServiceWithoutTargetsRunsNothing(t *testing.T) {
+	target := newTarget(t, echo)
+	address, _ := serve(t, func(string) bool { return true }, target.address)
+	for _, path := range []string{"s/pay", "s/status/1"} {
+		method := map[string]string{"s/pay": "POST", "s/status/1": "PUT"}[path]
+		response, answer := send(t, method, address+path, "key", strings.NewReader("body"), plain.KeyHeader, path)
+		assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		assert.Contains(t, answer, `"code":"noTarget"`)
+		assert.Contains(t, answer, `"ran":"notRun"`)
+	}
+	assert.Zero(t, target.seen.Load())
+}
+
+func TestAnswerTooLargeToKeepIsUnknown(t *testing.T) {
+	target := newTarget(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, 2<<20))
+	})
+	address, _ := serve(t, nil, target.address)
+	response, answer := send(t, "POST", address+"s/pay", "key", strings.NewReader("body"), plain.KeyHeader, "k")
+	assert.Equal(t, http.StatusBadGateway, response.StatusCode)
+	assert.Contains(t, answer, `"code":"answerTooLarge"`)
+	assert.Contains(t, answer, `"ran":"unknown"`)
+	assert.EqualValues(t, 1, target.seen.Load())
+}
+
 func TestHeaders(t *testing.T) {
 	target := newTarget(t, echo)
 	address, _ := serve(t, nil, target.address)
--- a/internal/node/cells/cells_test.go
+++ b/internal/node/cells/cells_test.go
@@ -2,16 +2,20 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	"github.com/thejerf/suture/v4"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/cicadamill/cicadamill/internal/config/site"
+	"github.com/cicadamill/cicadamill/internal/entry/fault"
 	"github.com/cicadamill/cicadamill/internal/node/cells"
 	"github.com/cicadamill/cicadamill/internal/route/cell"
 	"github.com/cicadamill/cicadamill/internal/route/job"
+	"github.com/cicadamill/cicadamill/internal/safety/effect"
 	"github.com/cicadamill/cicadamill/internal/target/engine"
 )
 
@@ -29,6 +33,61 @@
 	return engine.Snapshot{Incarnation: "1"}, nil
 }
 
+// silent is an engine that answers when it is let go.
+type silent struct {
+	ready
+	taken chan struct{}
+	goOn  chan struct{}
+}
+
+func (s silent) Complete(ctx context.Context, call engine.Call, sink func(engine.Event) error) error {
+	s.taken <- struct{}{}
+	<-s.goOn
+	return s.ready.Complete(ctx, call, sink)
+}
+
+// TestNodeDecidesForABoundedNumberOfCells keeps as many loops in use as there
+// may be, and asks for one more.
+func TestNodeDecidesForABoundedNumberOfCells(t *testing.T) {
+	const bound = 64
+	config, all := site.Config{}, []cell.Target{}
+	for i := range bound + 1 {
+		name := fmt.Sprintf("e%02d", i)
+		config.Engines = append(config.Engines, site.Engine{Name: name, Model: "m"})
+		config.Applications = append(config.Applications, site.Application{Name: name, Model: "m", Engines: []string{name}})
+		all = append(all, cell.Target{Name: name, Model: "m", Applications: []string{name}, Capacity: 1})
+	}
+	engines := silent{taken: make(chan struct{}), goOn: make(chan struct{})}
+	set := cells.New(cells.Options{
+		Targets: func(site.Config) cell.Targets { return cell.Targets{All: all} },
+		Dial:    func(string) (engine.Client, bool) { return engines, true },
+		Leaving: func() []string { return nil }, Scope: tally.NoopScope, Supervised: func(suture.Event) {},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	set.Apply(ctx, config)
+	ended := make(chan error, 1)
+	go func(ctx context.Context) { ended <- set.Serve(ctx) }(ctx)
+	run := func(ctx context.Context, application string) error {
+		j := job.Job{ID: application, Application: application, Model: "m"}
+		return set.Run(ctx, set.Candidates(j)[0].ID, j, func(engine.Event) error { return nil })
+	}
+	answers := make(chan error, bound)
+	for i := range bound {
+		go func(ctx context.Context) { answers <- run(ctx, fmt.Sprintf("e%02d", i)) }(ctx)
+		<-engines.taken
+	}
+	var refused *fault.Error
+	require.ErrorAs(t, run(ctx, fmt.Sprintf("e%02d", bound)), &refused)
+	assert.Equal(t, "tooManyCells", refused.Code)
+	assert.IsType(t, effect.NotRun{}, refused.Outcome)
+	close(engines.goOn)
+	for range bound {
+		assert.NoError(t, <-answers)
+	}
+	cancel()
+	<-ended
+}
+
 // TestEveryRequestMeetsTheEngines sends many requests to a cell that nobody has
 // used yet. None may be before the cell's list of engines.
 func TestEveryRequestMeetsTheEngines(t *testing.T) {
--- a/internal/node/flow/flow_test.go
+++ b/internal/node/flow/flow_test.go
@@ -89,6 +89,10 @@
 			scripts: [][]step{{broken()}, {notRun(engine.Busy)}, {notRun(engine.Busy)}, {notRun(engine.Busy)}},
 			offsets: []int{0, 0, 0, 0}, code: "busy", outcome: effect.Unknown{},
 		},
+		"engines stall until it is too late": {
+			scripts: [][]step{{accept("1"), pause(time.Hour)}, {accept("1"), pause(time.Hour)}, {accept("1"), pause(time.Hour)}, {accept("1"), pause(time.Hour)}},
+			offsets: []int{0, 0}, code: "overloaded", outcome: effect.Unknown{},
+		},
 		"caller reconnects":                  {offset: 3, offsets: []int{3}, chunks: 2},
 		"caller reconnects, no engine":       {offset: 3, scripts: [][]step{{notRun(engine.Stale)}, {notRun(engine.Stale)}, {notRun(engine.Stale)}, {notRun(engine.Stale)}}, offsets: []int{3, 3, 3, 3}, code: "stale", outcome: effect.NotRun{}},
 		"caller reconnects, other weights":   {offset: 3, scripts: [][]step{{accept("2"), token(3)}}, offsets: []int{3, 3}, chunks: 2},
--- a/internal/node/once/once_test.go
+++ b/internal/node/once/once_test.go
@@ -242,6 +242,28 @@
 	})
 }
 
+// TestOpenCallsAreBounded keeps as many calls open as there may be and asks for
+// one more.
+func TestOpenCallsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		one := s.node()
+		answers := make(chan string, once.Defaults.MaxOpen)
+		for i := range once.Defaults.MaxOpen {
+			go func(ctx context.Context) {
+				answers <- told(one.Run(ctx, s.call(strconv.Itoa(i), "d", time.Minute, answered("a"))))
+			}(t.Context())
+		}
+		synctest.Wait()
+		assert.Equal(t, "effectsBusy notRun", told(one.Run(t.Context(), s.call("k", "d", 0, answered("b")))))
+		for range once.Defaults.MaxOpen {
+			assert.Equal(t, "a", <-answers)
+		}
+		assert.EqualValues(t, once.Defaults.MaxOpen, s.runs.Load())
+		s.stop()
+	})
+}
+
 // TestManyCallsShareTransactions counts transactions, rows and refusals when
 // many calls come at once, some of them repeats.
 func TestManyCallsShareTransactions(t *testing.T) {
--- a/internal/peer/hop/hop_test.go
+++ b/internal/peer/hop/hop_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -200,8 +201,12 @@
 	address := start(t, failing(nil))
 	response, err := http.Post("http://"+address+hop.Path, "application/json", bytes.NewReader([]byte("{")))
 	require.NoError(t, err)
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
 	_ = response.Body.Close()
 	assert.Equal(t, http.StatusBadRequest, response.StatusCode)
+	assert.Contains(t, string(body), `"code":"badHop"`)
+	assert.Contains(t, string(body), `"outcome":"notRun"`)
 }
 
 // BenchmarkRelay is one event across a hop.
--- a/internal/safety/ledger/ledger_test.go
+++ b/internal/safety/ledger/ledger_test.go
@@ -56,12 +56,16 @@
 		steps []step
 		want  []string
 	}{
-		"reserved":                          {steps: []step{{0, ledger.Reserved{}}}, want: []string{"ledger.Dispatch"}},
-		"paused after the write":            {steps: []step{{5 * time.Second, ledger.Reserved{}}}, want: []string{"refuse ledgerSlow notRun", "keep notRun"}},
-		"table down":                        {steps: []step{{0, ledger.Down{}}}, want: []string{"refuse ledgerDown notRun"}},
-		"lost, found own":                   {steps: []step{{0, ledger.Lost{}}, {0, mine}}, want: []string{"ledger.Dispatch"}},
-		"lost, found own too late":          {steps: []step{{0, ledger.Lost{}}, {5 * time.Second, mine}}, want: []string{"refuse ledgerSlow notRun", "keep notRun"}},
-		"lost, found nothing":               {steps: []step{{0, ledger.Lost{}}, {0, ledger.Row{}}}, want: []string{"reserve at 0"}},
+		"reserved":                 {steps: []step{{0, ledger.Reserved{}}}, want: []string{"ledger.Dispatch"}},
+		"paused after the write":   {steps: []step{{5 * time.Second, ledger.Reserved{}}}, want: []string{"refuse ledgerSlow notRun", "keep notRun"}},
+		"table down":               {steps: []step{{0, ledger.Down{}}}, want: []string{"refuse ledgerDown notRun"}},
+		"lost, found own":          {steps: []step{{0, ledger.Lost{}}, {0, mine}}, want: []string{"ledger.Dispatch"}},
+		"lost, found own too late": {steps: []step{{0, ledger.Lost{}}, {5 * time.Second, mine}}, want: []string{"refuse ledgerSlow notRun", "keep notRun"}},
+		"lost, found nothing":      {steps: []step{{0, ledger.Lost{}}, {0, ledger.Row{}}}, want: []string{"reserve at 0"}},
+		"lost again and again": {steps: []step{
+			{0, ledger.Lost{}}, {0, ledger.Row{}}, {0, ledger.Lost{}}, {0, ledger.Row{}},
+			{0, ledger.Lost{}}, {0, ledger.Row{}}, {0, ledger.Lost{}}, {0, ledger.Row{}},
+		}, want: []string{"refuse ledgerBusy notRun", "keep notRun"}},
 		"lost, table stays down":            {steps: []step{{0, ledger.Lost{}}, {5 * time.Second, ledger.Down{}}}, want: []string{"refuse ledgerDown notRun", "keep notRun"}},
 		"key of another body":               {steps: []step{{0, ledger.Conflicted{}}, {0, foreign}}, want: []string{"refuse keyReused notRun"}},
 		"repeat of a call under way":        {steps: []step{{0, ledger.Conflicted{}}, {0, others}, {0, ledger.NoAnswer{}}}, want: []string{"ledger.Wait"}},
