Read engines' reports for orders seldom while nothing is to be changed

Cause: the holder of the lease read every engine's report each second. At 15 engines that is 5.7 KB a second; with membership and load reports the holder spent 9.4 KB of the 8 KB that control may take, today. Change: while every engine seen serves what is wanted, with no order under way, the holder looks once in 10 s; a change of the configuration is looked at in the next second. A new holder looks at once.

--- a/internal/node/orders/engines.go
+++ b/internal/node/orders/engines.go
@@ -44,10 +44,15 @@
 	return g.result(g.options.Table.Commit(ctx, table.Txn{Puts: []table.Put{{Key: Row, Value: value, IfVersion: c.IfVersion}}}))
 }
 
-// look reads the reports of all engines, a few at a time.
+// look reads the reports of all engines, a few at a time, and less often while
+// nothing is to be changed.
 func (g *Giver) look(ctx context.Context) {
-	wanted := g.wanted()
-	g.orders, _ = g.orders.Update(time.Now(), order.Want{Engines: wanted})
+	now, wanted := time.Now(), g.wanted()
+	g.orders, _ = g.orders.Update(now, order.Want{Engines: wanted})
+	if g.orders.Settled() && now.Sub(g.looked) < g.options.Quiet {
+		return
+	}
+	g.looked = now
 	names := make(chan string, len(wanted))
 	for name := range wanted {
 		names <- name
--- a/internal/node/orders/orders.go
+++ b/internal/node/orders/orders.go
@@ -36,6 +36,8 @@
 	MaxOrder time.Duration
 	// Interval is the time between two looks at the engines.
 	Interval time.Duration
+	// Quiet is the time between two looks while every engine serves what is wanted.
+	Quiet time.Duration
 	// Bounds bound what goes on at a time.
 	Bounds order.Options
 	// Scope takes the metrics.
@@ -46,7 +48,7 @@
 
 // Defaults are the times and bounds of a node.
 var Defaults = Options{
-	Term: 12 * time.Second, MaxOrder: 3 * time.Second, Interval: time.Second,
+	Term: 12 * time.Second, MaxOrder: 3 * time.Second, Interval: time.Second, Quiet: 10 * time.Second,
 	Bounds: order.Options{MaxLoads: 2, LoadInterval: time.Second, LoadTimeout: time.Minute, Settle: 3 * time.Second, MaxAge: 10 * time.Second},
 }
 
@@ -56,6 +58,7 @@
 	lease   lease.State
 	orders  order.State
 	fence   uint64
+	looked  time.Time
 }
 
 // New returns a giver that competes for the lease once it is served.
@@ -100,6 +103,7 @@
 	case held && grant.Fence != g.fence:
 		g.fence = grant.Fence
 		g.orders = order.New(g.options.Bounds)
+		g.looked = time.Time{}
 		g.options.Scope.Counter("orders_lease_taken").Inc(1)
 		g.options.Logger.Info("took the lease for orders", "fence", grant.Fence)
 	case !held && g.fence != 0:
--- a/internal/node/orders/orders_test.go
+++ b/internal/node/orders/orders_test.go
@@ -35,16 +35,18 @@
 	engines map[string]*model.Engine
 	doors   map[string]chan net.Conn
 	config  atomic.Pointer[site.Config]
-	// obeyed counts the orders that reached an engine, by its name.
+	// obeyed counts the orders that reached an engine, asked the reads of its
+	// report, by its name.
 	mu     sync.Mutex
 	obeyed map[string]int
+	asked  map[string]int
 	stops  []func()
 }
 
 func newPlant(t *testing.T, count int, checksFence bool) *plant {
 	p := &plant{
 		t: t, table: tables.New(), scope: tally.NewTestScope("", nil),
-		engines: map[string]*model.Engine{}, doors: map[string]chan net.Conn{}, obeyed: map[string]int{},
+		engines: map[string]*model.Engine{}, doors: map[string]chan net.Conn{}, obeyed: map[string]int{}, asked: map[string]int{},
 	}
 	config := site.Config{Models: []site.Model{{Name: "m", WeightVersion: "1"}}}
 	for i := range count {
@@ -71,6 +73,11 @@
 			p.obeyed[name]++
 			p.mu.Unlock()
 		}
+		if r.URL.Path == "/load" {
+			p.mu.Lock()
+			p.asked[name]++
+			p.mu.Unlock()
+		}
 		inner.ServeHTTP(w, r)
 	})}
 	ended := make(chan error, 1)
@@ -174,6 +181,33 @@
 
 func nothing() {}
 
+// TestSettledEnginesAreAskedSeldom counts the reports that are read while
+// nothing changes, and sees that a change still begins at once.
+func TestSettledEnginesAreAskedSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlant(t, 3, true)
+		stop := p.node(nothing)
+		time.Sleep(20 * time.Second)
+		before := p.reads("e0")
+		time.Sleep(time.Minute)
+		assert.LessOrEqual(t, p.reads("e0")-before, 7)
+		before = p.reads("e0")
+		p.want("2")
+		time.Sleep(3 * time.Second)
+		assert.GreaterOrEqual(t, p.reads("e0")-before, 2)
+		time.Sleep(time.Minute)
+		assert.Equal(t, 3, p.at("2"))
+		stop()
+		p.stop()
+	})
+}
+
+func (p *plant) reads(name string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.asked[name]
+}
+
 func TestRollOutSurvivesItsHolder(t *testing.T) {
 	for name, checksFence := range map[string]bool{"checks fencing numbers": true, "ignores fencing numbers": false} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/safety/order/order.go
+++ b/internal/safety/order/order.go
@@ -217,6 +217,24 @@
 	return s, commands
 }
 
+// Settled reports whether every engine that was seen serves what is wanted, with
+// no order under way. Reports may then be read less often.
+func (s State) Settled() bool {
+	for name, k := range s.engines {
+		wanted := s.wanted[name]
+		busy := k.id != 0 || !k.loadFrom.IsZero() || k.load.Loading || k.load.Role == RoleDrain
+		if busy || k.load.WeightVersion != s.target(wanted) {
+			return false
+		}
+		for adapter, at := range wanted.Adapters {
+			if k.load.Adapters[adapter] != at {
+				return false
+			}
+		}
+	}
+	return len(s.engines) > 0
+}
+
 // expire ends loads that took too long.
 func (s *State) expire(now time.Time) {
 	for name, k := range s.engines {
