Choose a request's cell without ranking all of them

Change: the entry asks for the first cell and ranks the rest only then. A sum in the sizes that nothing called is removed.

--- a/internal/node/cells/cells.go
+++ b/internal/node/cells/cells.go
@@ -125,6 +125,19 @@
 	}
 }
 
+// First returns the best cell for a job, at a cost that does not grow with the
+// engines; false means that no cell answers it.
+func (s *Set) First(j job.Job) (group.Cell, bool) {
+	s.mu.Lock()
+	groups, byID := s.groups, s.byID
+	s.mu.Unlock()
+	if len(byID) == 0 {
+		return group.Cell{}, false
+	}
+	found, ok := byID[groups.First(j, s.options.DataCentre)]
+	return found, ok
+}
+
 // Candidates returns the cells that may answer a job, best first.
 func (s *Set) Candidates(j job.Job) []group.Cell {
 	s.mu.Lock()
--- a/internal/node/cells/cells_test.go
+++ b/internal/node/cells/cells_test.go
@@ -33,6 +33,28 @@
 	return engine.Snapshot{Incarnation: "1"}, nil
 }
 
+func TestFirstIsTheBestCandidate(t *testing.T) {
+	set := cells.New(cells.Options{DataCentre: "d", Targets: func(site.Config) cell.Targets { return cell.Targets{} }, Scope: tally.NoopScope})
+	j := job.Job{Application: "a", Workspace: "w", Blocks: []uint64{1, 2, 3}}
+	_, ok := set.First(j)
+	assert.False(t, ok, "no configuration yet")
+	config := site.Config{
+		Regions:      []site.Region{{Name: "r", DataCentres: []string{"d"}}},
+		Applications: []site.Application{{Name: "a", Model: "m"}},
+	}
+	for i := range 100 {
+		name := fmt.Sprint("e", i)
+		config.Engines = append(config.Engines, site.Engine{Name: name, Model: "m", DataCentre: "d"})
+		config.Applications[0].Engines = append(config.Applications[0].Engines, name)
+	}
+	set.Apply(t.Context(), config)
+	first, ok := set.First(j)
+	assert.True(t, ok)
+	assert.Equal(t, set.Candidates(j)[0], first)
+	_, ok = set.First(job.Job{Application: "none"})
+	assert.False(t, ok)
+}
+
 // silent is an engine that answers when it is let go.
 type silent struct {
 	ready
--- a/internal/node/steer/steer.go
+++ b/internal/node/steer/steer.go
@@ -30,6 +30,8 @@
 
 // Local decides for cells on this node.
 type Local interface {
+	// First returns the best cell for a job; false means that there is none.
+	First(j job.Job) (group.Cell, bool)
 	// Candidates returns the cells that may answer a job, best first.
 	Candidates(j job.Job) []group.Cell
 	// Run answers a job on a cell.
@@ -81,23 +83,37 @@
 
 // Run answers a request that entered at this node.
 func (s *Steer) Run(ctx context.Context, j job.Job, sink func(engine.Event) error) error {
-	cells := s.local.Candidates(j)
-	if len(cells) == 0 {
+	first, ok := s.local.First(j)
+	if !ok {
 		return &fault.Error{
 			Code: "noEngine", Status: http.StatusServiceUnavailable, Outcome: effect.NotRun{Reason: "no engine serves the application"},
 			RetryAfter: time.Second, Message: "no engine serves the application",
 		}
 	}
 	t := newTrip(s, j, sink)
-	var err error
-	for _, c := range cells[:min(maxCells, len(cells))] {
-		err = t.visit(ctx, c)
-		if !t.isElsewhere(err) {
+	err := t.visit(ctx, first)
+	if t.isElsewhere(err) {
+		err = s.elsewhere(ctx, t, first, err)
+	}
+	return t.close(err)
+}
+
+// elsewhere tries the cells after the first, which had no engine for a request.
+// Only then are all cells ranked.
+func (s *Steer) elsewhere(ctx context.Context, t *trip, first group.Cell, err error) error {
+	visits := 1
+	for _, c := range s.local.Candidates(t.job) {
+		if c.ID == first.ID {
+			continue
+		}
+		if visits >= maxCells || !t.isElsewhere(err) {
 			break
 		}
+		visits++
 		s.count("steer_other_cells")
+		err = t.visit(ctx, c)
 	}
-	return t.close(err)
+	return err
 }
 
 // RunHere answers a request that another node handed to this one. It never
--- a/internal/node/steer/steer_test.go
+++ b/internal/node/steer/steer_test.go
@@ -75,6 +75,14 @@
 	return []group.Cell{{ID: "c0"}, {ID: "c1"}}[:w.cells]
 }
 
+func (w *world) First(j job.Job) (group.Cell, bool) {
+	all := w.Candidates(j)
+	if len(all) == 0 {
+		return group.Cell{}, false
+	}
+	return all[0], true
+}
+
 func (w *world) Run(_ context.Context, cell string, j job.Job, sink func(engine.Event) error) error {
 	w.visits = append(w.visits, "here")
 	w.ids, w.offsets = append(w.ids, j.ID), append(w.offsets, j.Offset)
--- a/internal/tool/sizing/budget.go
+++ b/internal/tool/sizing/budget.go
@@ -13,12 +13,6 @@
 
 const secondsPerSweep = 60
 
-// MostEffects returns how many calls that must not repeat the platform's table
-// carries in a second when each node has less than one at a time.
-func MostEffects(fleet Fleet, slopes Slopes) float64 {
-	return fleet.TableWrites / slopes["effectTransactions"].Value
-}
-
 // days works out the worst days.
 func (a *arithmetic) days() []Day {
 	rack := 20.0
