--- a/internal/config/record/record.go
+++ b/internal/config/record/record.go
@@ -15,8 +15,8 @@
 	jujuerrors "github.com/juju/errors"
 
 	"github.com/cicadamill/cicadamill/internal/config/submit"
-	"github.com/cicadamill/cicadamill/internal/platform/object"
-	"github.com/cicadamill/cicadamill/internal/platform/table"
+	"github.com/cicadamill/cicadamill/internal/infra/object"
+	"github.com/cicadamill/cicadamill/internal/infra/table"
 )
 
 const (
--- a/internal/platform/weblst/weblst.go
+++ b/internal/infra/weblst/weblst.go
@@ -9,7 +9,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/cicadamill/cicadamill/internal/platform/hosts"
+	"github.com/cicadamill/cicadamill/internal/infra/hosts"
 )
 
 const maxReplyBytes = 16 << 20
--- a/internal/platform/weblst/weblst_test.go
+++ b/internal/infra/weblst/weblst_test.go
@@ -9,8 +9,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/cicadamill/cicadamill/internal/platform/hosts"
-	"github.com/cicadamill/cicadamill/internal/platform/weblst"
+	"github.com/cicadamill/cicadamill/internal/infra/hosts"
+	"github.com/cicadamill/cicadamill/internal/infra/weblst"
 	"github.com/cicadamill/cicadamill/internal/standin/lists"
 )
 
--- a/internal/platform/webobj/webobj.go
+++ b/internal/infra/webobj/webobj.go
@@ -8,7 +8,7 @@
 	"net/http"
 	"net/url"
 
-	"github.com/cicadamill/cicadamill/internal/platform/object"
+	"github.com/cicadamill/cicadamill/internal/infra/object"
 )
 
 const maxReplyBytes = 64 << 20
--- a/internal/platform/webobj/webobj_test.go
+++ b/internal/infra/webobj/webobj_test.go
@@ -9,8 +9,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/cicadamill/cicadamill/internal/platform/object"
-	"github.com/cicadamill/cicadamill/internal/platform/webobj"
+	"github.com/cicadamill/cicadamill/internal/infra/object"
+	"github.com/cicadamill/cicadamill/internal/infra/webobj"
 	"github.com/cicadamill/cicadamill/internal/standin/objs"
 )
 
--- a/internal/platform/webtab/webtab.go
+++ b/internal/infra/webtab/webtab.go
@@ -13,7 +13,7 @@
 	"strconv"
 	"sync/atomic"
 
-	"github.com/cicadamill/cicadamill/internal/platform/table"
+	"github.com/cicadamill/cicadamill/internal/infra/table"
 )
 
 const maxReplyBytes = 16 << 20
--- a/internal/platform/webtab/webtab_test.go
+++ b/internal/infra/webtab/webtab_test.go
@@ -10,8 +10,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/cicadamill/cicadamill/internal/platform/table"
-	"github.com/cicadamill/cicadamill/internal/platform/webtab"
+	"github.com/cicadamill/cicadamill/internal/infra/table"
+	"github.com/cicadamill/cicadamill/internal/infra/webtab"
 	"github.com/cicadamill/cicadamill/internal/standin/tables"
 )
 
--- a/internal/node/follow/mesh_test.go
+++ b/internal/node/follow/mesh_test.go
@@ -20,8 +20,8 @@
 	"github.com/cicadamill/cicadamill/internal/config/share"
 	"github.com/cicadamill/cicadamill/internal/config/site"
 	"github.com/cicadamill/cicadamill/internal/config/submit"
+	"github.com/cicadamill/cicadamill/internal/infra/table"
 	"github.com/cicadamill/cicadamill/internal/node/follow"
-	"github.com/cicadamill/cicadamill/internal/platform/table"
 	"github.com/cicadamill/cicadamill/internal/standin/objs"
 	"github.com/cicadamill/cicadamill/internal/standin/tables"
 )
--- a/internal/node/gossip/gossip.go
+++ b/internal/node/gossip/gossip.go
@@ -12,10 +12,10 @@
 
 	"github.com/cicadamill/cicadamill/internal/fleet/homes"
 	"github.com/cicadamill/cicadamill/internal/fleet/member"
+	"github.com/cicadamill/cicadamill/internal/infra/hosts"
 	"github.com/cicadamill/cicadamill/internal/node/steer"
 	"github.com/cicadamill/cicadamill/internal/peer/note"
 	"github.com/cicadamill/cicadamill/internal/peer/wire"
-	"github.com/cicadamill/cicadamill/internal/platform/hosts"
 	"github.com/cicadamill/cicadamill/internal/safety/crash"
 	"github.com/cicadamill/cicadamill/internal/target/engine"
 )
--- a/internal/node/gossip/list.go
+++ b/internal/node/gossip/list.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/cicadamill/cicadamill/internal/fleet/member"
-	"github.com/cicadamill/cicadamill/internal/platform/hosts"
+	"github.com/cicadamill/cicadamill/internal/infra/hosts"
 )
 
 const (
--- a/internal/node/group/group.go
+++ b/internal/node/group/group.go
@@ -9,7 +9,7 @@
 
 	"github.com/uber-go/tally/v4"
 
-	"github.com/cicadamill/cicadamill/internal/platform/table"
+	"github.com/cicadamill/cicadamill/internal/infra/table"
 	"github.com/cicadamill/cicadamill/internal/safety/batch"
 )
 
--- a/internal/node/once/bench_test.go
+++ b/internal/node/once/bench_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/cicadamill/cicadamill/internal/infra/table"
 	"github.com/cicadamill/cicadamill/internal/node/group"
 	"github.com/cicadamill/cicadamill/internal/node/once"
-	"github.com/cicadamill/cicadamill/internal/platform/table"
 	"github.com/cicadamill/cicadamill/internal/safety/batch"
 	"github.com/cicadamill/cicadamill/internal/safety/ledger"
 	"github.com/cicadamill/cicadamill/internal/standin/objs"
--- a/internal/node/once/drive.go
+++ b/internal/node/once/drive.go
@@ -6,8 +6,8 @@
 	"errors"
 	"time"
 
-	"github.com/cicadamill/cicadamill/internal/platform/object"
-	"github.com/cicadamill/cicadamill/internal/platform/table"
+	"github.com/cicadamill/cicadamill/internal/infra/object"
+	"github.com/cicadamill/cicadamill/internal/infra/table"
 	"github.com/cicadamill/cicadamill/internal/safety/batch"
 	"github.com/cicadamill/cicadamill/internal/safety/effect"
 	"github.com/cicadamill/cicadamill/internal/safety/ledger"
--- a/internal/node/once/once_test.go
+++ b/internal/node/once/once_test.go
@@ -15,9 +15,9 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/cicadamill/cicadamill/internal/entry/fault"
+	"github.com/cicadamill/cicadamill/internal/infra/table"
 	"github.com/cicadamill/cicadamill/internal/node/group"
 	"github.com/cicadamill/cicadamill/internal/node/once"
-	"github.com/cicadamill/cicadamill/internal/platform/table"
 	"github.com/cicadamill/cicadamill/internal/safety/batch"
 	"github.com/cicadamill/cicadamill/internal/safety/effect"
 	"github.com/cicadamill/cicadamill/internal/safety/ledger"
--- a/internal/node/orders/engines.go
+++ b/internal/node/orders/engines.go
@@ -8,7 +8,7 @@
 
 	jujuerrors "github.com/juju/errors"
 
-	"github.com/cicadamill/cicadamill/internal/platform/table"
+	"github.com/cicadamill/cicadamill/internal/infra/table"
 	"github.com/cicadamill/cicadamill/internal/safety/effect"
 	"github.com/cicadamill/cicadamill/internal/safety/lease"
 	"github.com/cicadamill/cicadamill/internal/safety/order"
--- a/internal/node/orders/orders.go
+++ b/internal/node/orders/orders.go
@@ -12,7 +12,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/cicadamill/cicadamill/internal/config/site"
-	"github.com/cicadamill/cicadamill/internal/platform/table"
+	"github.com/cicadamill/cicadamill/internal/infra/table"
 	"github.com/cicadamill/cicadamill/internal/safety/lease"
 	"github.com/cicadamill/cicadamill/internal/safety/order"
 	"github.com/cicadamill/cicadamill/internal/target/engine"
--- a/internal/node/server/config.go
+++ b/internal/node/server/config.go
@@ -9,9 +9,9 @@
 	"github.com/cicadamill/cicadamill/internal/config/record"
 	"github.com/cicadamill/cicadamill/internal/config/share"
 	"github.com/cicadamill/cicadamill/internal/config/site"
+	"github.com/cicadamill/cicadamill/internal/infra/webobj"
+	"github.com/cicadamill/cicadamill/internal/infra/webtab"
 	"github.com/cicadamill/cicadamill/internal/node/follow"
-	"github.com/cicadamill/cicadamill/internal/platform/webobj"
-	"github.com/cicadamill/cicadamill/internal/platform/webtab"
 )
 
 // peersInterval is how often the list of nodes is taken over from the fleet.
--- a/internal/node/server/effects.go
+++ b/internal/node/server/effects.go
@@ -9,11 +9,11 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/cicadamill/cicadamill/internal/entry/plain"
+	"github.com/cicadamill/cicadamill/internal/infra/webobj"
+	"github.com/cicadamill/cicadamill/internal/infra/webtab"
 	"github.com/cicadamill/cicadamill/internal/node/group"
 	"github.com/cicadamill/cicadamill/internal/node/once"
 	"github.com/cicadamill/cicadamill/internal/node/sweep"
-	"github.com/cicadamill/cicadamill/internal/platform/webobj"
-	"github.com/cicadamill/cicadamill/internal/platform/webtab"
 	"github.com/cicadamill/cicadamill/internal/safety/batch"
 )
 
--- a/internal/node/server/fleet.go
+++ b/internal/node/server/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/cicadamill/cicadamill/internal/entry/limit"
 	"github.com/cicadamill/cicadamill/internal/fleet/homes"
 	"github.com/cicadamill/cicadamill/internal/fleet/member"
+	"github.com/cicadamill/cicadamill/internal/infra/weblst"
 	"github.com/cicadamill/cicadamill/internal/node/cells"
 	"github.com/cicadamill/cicadamill/internal/node/flow"
 	"github.com/cicadamill/cicadamill/internal/node/gossip"
@@ -22,7 +23,6 @@
 	"github.com/cicadamill/cicadamill/internal/node/steer"
 	"github.com/cicadamill/cicadamill/internal/peer/hop"
 	"github.com/cicadamill/cicadamill/internal/peer/wire"
-	"github.com/cicadamill/cicadamill/internal/platform/weblst"
 	"github.com/cicadamill/cicadamill/internal/route/cell"
 	"github.com/cicadamill/cicadamill/internal/target/engine"
 )
--- a/internal/node/server/fleet_test.go
+++ b/internal/node/server/fleet_test.go
@@ -16,8 +16,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cicadamill/cicadamill/internal/config/local"
+	"github.com/cicadamill/cicadamill/internal/infra/hosts"
 	"github.com/cicadamill/cicadamill/internal/node/server"
-	"github.com/cicadamill/cicadamill/internal/platform/hosts"
 	"github.com/cicadamill/cicadamill/internal/standin/embed"
 )
 
--- a/internal/node/server/orders.go
+++ b/internal/node/server/orders.go
@@ -3,8 +3,8 @@
 import (
 	"net/http"
 
+	"github.com/cicadamill/cicadamill/internal/infra/webtab"
 	"github.com/cicadamill/cicadamill/internal/node/orders"
-	"github.com/cicadamill/cicadamill/internal/platform/webtab"
 	"github.com/cicadamill/cicadamill/internal/target/engine"
 	"github.com/cicadamill/cicadamill/internal/target/guard"
 	"github.com/cicadamill/cicadamill/internal/target/remote"
--- a/internal/node/sweep/sweep.go
+++ b/internal/node/sweep/sweep.go
@@ -14,8 +14,8 @@
 
 	"github.com/uber-go/tally/v4"
 
-	"github.com/cicadamill/cicadamill/internal/platform/object"
-	"github.com/cicadamill/cicadamill/internal/platform/table"
+	"github.com/cicadamill/cicadamill/internal/infra/object"
+	"github.com/cicadamill/cicadamill/internal/infra/table"
 	"github.com/cicadamill/cicadamill/internal/safety/ledger"
 )
 
--- a/internal/node/sweep/sweep_test.go
+++ b/internal/node/sweep/sweep_test.go
@@ -12,8 +12,8 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/cicadamill/cicadamill/internal/infra/table"
 	"github.com/cicadamill/cicadamill/internal/node/sweep"
-	"github.com/cicadamill/cicadamill/internal/platform/table"
 	"github.com/cicadamill/cicadamill/internal/safety/ledger"
 	"github.com/cicadamill/cicadamill/internal/standin/objs"
 	"github.com/cicadamill/cicadamill/internal/standin/tables"
--- a/internal/safety/batch/batch.go
+++ b/internal/safety/batch/batch.go
@@ -10,7 +10,7 @@
 	"slices"
 	"time"
 
-	"github.com/cicadamill/cicadamill/internal/platform/table"
+	"github.com/cicadamill/cicadamill/internal/infra/table"
 )
 
 // Options bound the state.
--- a/internal/safety/batch/batch_test.go
+++ b/internal/safety/batch/batch_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"github.com/cicadamill/cicadamill/internal/platform/table"
+	"github.com/cicadamill/cicadamill/internal/infra/table"
 	"github.com/cicadamill/cicadamill/internal/safety/batch"
 )
 
--- a/internal/safety/batch/command.go
+++ b/internal/safety/batch/command.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cicadamill/cicadamill/internal/platform/table"
+	"github.com/cicadamill/cicadamill/internal/infra/table"
 )
 
 // Result is what became of one write.
--- a/internal/safety/batch/message.go
+++ b/internal/safety/batch/message.go
@@ -1,6 +1,6 @@
 package batch
 
-import "github.com/cicadamill/cicadamill/internal/platform/table"
+import "github.com/cicadamill/cicadamill/internal/infra/table"
 
 // Write is one call's write.
 type Write struct {
--- a/internal/standin/lists/lists.go
+++ b/internal/standin/lists/lists.go
@@ -9,7 +9,7 @@
 	"slices"
 	"sync"
 
-	"github.com/cicadamill/cicadamill/internal/platform/hosts"
+	"github.com/cicadamill/cicadamill/internal/infra/hosts"
 )
 
 // List holds hosts in memory and implements [hosts.Client]. What was set last
--- a/internal/standin/objs/objs.go
+++ b/internal/standin/objs/objs.go
@@ -9,7 +9,7 @@
 	"strings"
 	"sync"
 
-	"github.com/cicadamill/cicadamill/internal/platform/object"
+	"github.com/cicadamill/cicadamill/internal/infra/object"
 )
 
 const maxObjectBytes = 64 << 20
--- a/internal/standin/tables/handler.go
+++ b/internal/standin/tables/handler.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"strconv"
 
-	"github.com/cicadamill/cicadamill/internal/platform/table"
+	"github.com/cicadamill/cicadamill/internal/infra/table"
 )
 
 // Handler serves the store over HTTP with JSON, in the form that package
--- a/internal/standin/tables/tables.go
+++ b/internal/standin/tables/tables.go
@@ -9,7 +9,7 @@
 	"strings"
 	"sync"
 
-	"github.com/cicadamill/cicadamill/internal/platform/table"
+	"github.com/cicadamill/cicadamill/internal/infra/table"
 )
 
 // Store holds rows in memory and implements [table.Client]. Its zero value is
--- a/internal/tool/procs/site_test.go
+++ b/internal/tool/procs/site_test.go
@@ -17,7 +17,7 @@
 	"github.com/cicadamill/cicadamill/internal/config/local"
 	"github.com/cicadamill/cicadamill/internal/config/site"
 	"github.com/cicadamill/cicadamill/internal/entry/auth"
-	"github.com/cicadamill/cicadamill/internal/platform/hosts"
+	"github.com/cicadamill/cicadamill/internal/infra/hosts"
 )
 
 const (
