--- a/cmd/cicadamill/main.go
+++ b/cmd/cicadamill/main.go
@@ -32,6 +32,7 @@
 	Load     *loadCommand     `arg:"subcommand:load" help:"send a seeded load and check the answers"`
 	Standin  *standinCommand  `arg:"subcommand:standin" help:"run a stand-in of an engine, the platform or a service"`
 	Capacity *capacityCommand `arg:"subcommand:capacity" help:"work out what each role costs a node at the planned size"`
+	Gateway  *gatewayCommand  `arg:"subcommand:gateway" help:"run one host on a platform, as its settings file says"`
 	Version  *versionCommand  `arg:"subcommand:version" help:"print the version"`
 }
 
--- /dev/null
+++ b/internal/gate/host/know.go
@@ -0,0 +1,349 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/cicadamill/cicadamill/internal/config/local"
+	"github.com/cicadamill/cicadamill/internal/gate/feed"
+	"github.com/cicadamill/cicadamill/internal/gate/peers"
+	"github.com/cicadamill/cicadamill/internal/gate/pick"
+	"github.com/cicadamill/cicadamill/internal/gate/roster"
+	"github.com/cicadamill/cicadamill/internal/infra/table"
+	"github.com/cicadamill/cicadamill/internal/node/orders"
+	"github.com/cicadamill/cicadamill/internal/safety/order"
+)
+
+const (
+	// keepInterval is how often beliefs that end with time are looked at.
+	keepInterval = 50 * time.Millisecond
+	// registerInterval is how often a host reads which other hosts there are;
+	// hosts that serve tell each other sooner.
+	registerInterval = 10 * time.Second
+	// registerRetry is the pause after a failed registration.
+	registerRetry = time.Second
+	// registerTimeout bounds one call to the store.
+	registerTimeout = time.Second
+	// maxHosts bounds the rows read at a time.
+	maxHosts = 500
+	// hostPrefix begins the keys of the rows of hosts.
+	hostPrefix = "hosts/"
+)
+
+const (
+	// lookInterval is how often the holder of the lease looks at the engines; an
+	// engine's report is about 100 ms old.
+	lookInterval = 100 * time.Millisecond
+	// maxOrderTime bounds one order on its way.
+	maxOrderTime = 700 * time.Millisecond
+	// emptyTime is how long an engine may finish its work before new weights are
+	// loaded: about one run.
+	emptyTime = 600 * time.Millisecond
+	// loadTimeout is when a load counts as lost: several times what one takes.
+	loadTimeout = 12 * time.Second
+	// settleTime is how long a report may lag behind an order.
+	settleTime = 250 * time.Millisecond
+	// reportAge is how old an engine's report may be to count.
+	reportAge = time.Second
+	// loadsAtOnce is the least number of engines that may load at once, and
+	// loadShare that number as a part of all engines.
+	loadsAtOnce = 2
+	loadShare   = 5
+)
+
+func seedOf(name string) uint64 { return xxh3.HashString(name) }
+
+func (h *Host) giverOptions() orders.Options {
+	bounds := h.settings.Bounds
+	return orders.Options{
+		Config: h.desk.Config, Dial: h.desk.Dial, Table: h.platform.Table, Term: bounds.Lease, MaxOrder: maxOrderTime,
+		Turn: bounds.Lease, Interval: lookInterval, Quiet: lookInterval,
+		Bounds: order.Options{
+			MaxLoads: loadsAtOnce, LoadShare: loadShare, LoadTimeout: loadTimeout, Settle: settleTime, MaxAge: reportAge,
+			Patience: emptyTime, KeepTrying: true,
+		},
+		Scope: h.meter.Scope(), Logger: h.logger,
+	}
+}
+
+// operatorRows takes rows that operators have written.
+func (h *Host) operatorRows(page feed.Page) {
+	for _, row := range page.Rows {
+		if row.Removed {
+			continue
+		}
+		news, err := h.platform.Operator(row)
+		if err != nil {
+			h.meter.Scope().Counter("rows_unreadable").Inc(1)
+			h.logger.Warn("row can't be read", "key", row.Key, "version", row.Version, "error", err)
+			continue
+		}
+		switch n := news.(type) {
+		case NewPlan:
+			h.apply(n)
+		case NewWeights:
+			h.noteWeights(n)
+		}
+	}
+}
+
+// apply puts a configuration in force. Versions only rise.
+func (h *Host) apply(n NewPlan) {
+	if old := h.plan.Load(); old != nil && old.Version >= n.Plan.Version {
+		return
+	}
+	h.plan.Store(n.Plan)
+	h.mu.Lock()
+	h.picks.SetPlan(n.Plan)
+	h.mu.Unlock()
+	l := n.Plan.Limits
+	if h.doors != nil {
+		h.doors.SetLimits(local.Limits{
+			BodyBytes: l.BodyBytes, HeaderBytes: l.HeaderBytes, HeaderMillis: int(l.HeaderTimeout.Milliseconds()),
+			IdleMillis: int(l.IdleTimeout.Milliseconds()),
+		})
+	}
+	h.logger.Info("configuration in force", "config", n.Plan.Version, "services", len(n.Plan.Services))
+	h.refreshReady()
+}
+
+// noteWeights takes the newest version of a model's weights.
+func (h *Host) noteWeights(n NewWeights) {
+	h.mu.Lock()
+	news := h.picks.Want(time.Now(), n.Model, n.Version)
+	h.mu.Unlock()
+	if news {
+		h.logger.Info("weights named", "model", n.Model, "weights", n.Version)
+	}
+}
+
+func (h *Host) wanted() map[string]uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.picks.Wanted()
+}
+
+func (h *Host) running(id string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.picks.Running(time.Now(), id)
+}
+
+// seen takes a version that a target has shown.
+func (h *Host) seen(id, model string, version uint64) {
+	t, ok := h.listedTargets()[id]
+	if !ok {
+		return
+	}
+	h.mu.Lock()
+	news := h.picks.Saw(id, pick.Seen{Born: t.Born, Model: model, Version: version})
+	h.mu.Unlock()
+	if news {
+		h.logger.Info("target serves other weights", "target", id, "model", model, "weights", version)
+	}
+}
+
+func (h *Host) targetReset(page feed.Page) {
+	now := time.Now()
+	changes := make([]roster.Change, 0, len(page.Rows))
+	for _, row := range page.Rows {
+		changes = append(changes, h.change(now, row))
+	}
+	h.mu.Lock()
+	h.roster.Reset(now, page.Version, changes)
+	h.mu.Unlock()
+	h.listed.Store(true)
+	h.spread()
+}
+
+func (h *Host) targetChange(page feed.Page) {
+	now := time.Now()
+	for _, row := range page.Rows {
+		c := h.change(now, row)
+		h.mu.Lock()
+		h.roster.Apply(now, c)
+		h.mu.Unlock()
+	}
+	h.listed.Store(true)
+	h.spread()
+}
+
+func (h *Host) change(now time.Time, row feed.Row) roster.Change {
+	c := h.platform.Target(now, row)
+	switch {
+	case c.Unreadable != "":
+		h.meter.Scope().Counter("rows_unreadable").Inc(1)
+		h.logger.Warn("target's entry can't be read", "target", c.ID, "version", row.Version, "reason", c.Unreadable)
+	case c.Target == nil:
+		h.logger.Info("target removed", "target", c.ID, "version", row.Version)
+	default:
+		h.logger.Info("target listed", "target", c.ID, "version", row.Version, "service", c.Target.Service,
+			"leaving", c.Target.Leaving, "weights", c.Target.Versions, "born", c.Target.Born)
+	}
+	return c
+}
+
+// spread hands the list of targets to all who use it.
+func (h *Host) spread() {
+	h.mu.Lock()
+	targets := h.roster.Targets()
+	h.picks.SetTargets(targets)
+	for id, t := range h.picks.Versions() {
+		entry := targets[id]
+		entry.Versions = map[string]uint64{t.Model: t.Version}
+		targets[id] = entry
+	}
+	h.mu.Unlock()
+	h.targets.Store(&targets)
+	h.pool.Keep(targets)
+	h.refreshReady()
+}
+
+func (h *Host) listedTargets() map[string]roster.Target { return *h.targets.Load() }
+
+func (h *Host) regained() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.roster.Returned(time.Now())
+}
+
+func (h *Host) refreshReady() {
+	if h.plan.Load() != nil && h.listed.Load() && !h.ready.Load() && !h.stopping() {
+		h.ready.Store(true)
+		h.logger.Info("ready", "config", h.plan.Load().Version, "targets", len(h.listedTargets()))
+	}
+}
+
+// keep ends beliefs whose time is over.
+func (h *Host) keep(ctx context.Context) error {
+	ticker := time.NewTicker(keepInterval)
+	defer ticker.Stop()
+	dropped := int64(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		now := time.Now()
+		if word := h.emptied(); word != nil {
+			h.peers.Empty(*word)
+		}
+		emptied := h.peers.Emptied(now)
+		h.mu.Lock()
+		expired := h.roster.Expire(now)
+		h.picks.SetEmptied(emptied)
+		h.mu.Unlock()
+		if expired {
+			h.logger.Info("targets removed whose entries stayed missing")
+			h.spread()
+		}
+		if next := h.lines.Dropped(); next > dropped {
+			h.meter.Scope().Counter("log_lines_dropped").Inc(next - dropped)
+			dropped = next
+		}
+	}
+}
+
+// compose returns what the peers should know.
+func (h *Host) compose() peers.Message {
+	now := time.Now()
+	h.mu.Lock()
+	message := peers.Message{Report: h.picks.Report(now), Wanted: h.picks.Wanted()}
+	h.mu.Unlock()
+	message.Emptied = h.emptied()
+	return message
+}
+
+// emptied returns the engines that this host puts out of work; nil while another
+// host gives the orders.
+func (h *Host) emptied() *peers.Emptied {
+	fence := h.giver.Fence()
+	if fence == 0 {
+		h.desk.Clear()
+		return nil
+	}
+	return &peers.Emptied{Fence: fence, Targets: h.desk.Emptied()}
+}
+
+func (h *Host) hear(m peers.Message) {
+	now := time.Now()
+	h.mu.Lock()
+	h.picks.Hear(now, m.From, m.Report)
+	h.mu.Unlock()
+	for model, version := range m.Wanted {
+		h.noteWeights(NewWeights{Model: model, Version: version})
+	}
+}
+
+// rows serves peers that the store turns away.
+func (h *Host) rows(name string, after uint64) (feed.Page, bool) {
+	f, ok := h.feeds[name]
+	if !ok {
+		return feed.Page{}, false
+	}
+	return f.Known(after), true
+}
+
+// member is the row of a host.
+type member struct {
+	Address string `json:"address"`
+}
+
+// register writes this host's row and reads those of the others.
+func (h *Host) register(ctx context.Context) error {
+	if h.settings.Peer == "" {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	for _, address := range h.settings.Seeds {
+		h.peers.Add("seed "+address, address)
+	}
+	written := false
+	for {
+		err := h.exchangeRows(ctx, &written)
+		pause := registerInterval
+		if err != nil {
+			h.meter.Scope().Counter("register_failures").Inc(1)
+			h.logger.Debug("hosts not read", "error", err)
+			pause = registerRetry
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (h *Host) exchangeRows(ctx context.Context, written *bool) error {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	if !*written {
+		value, err := json.Marshal(member{Address: h.settings.Peer})
+		if err != nil {
+			return err
+		}
+		put := table.Put{Key: hostPrefix + h.settings.Name, Value: value, Always: true}
+		if err := h.platform.Table.Commit(ctx, table.Txn{Puts: []table.Put{put}}); err != nil {
+			return err
+		}
+		*written = true
+	}
+	rows, err := h.platform.Table.List(ctx, hostPrefix, "", maxHosts)
+	if err != nil {
+		return err
+	}
+	for _, row := range rows {
+		var m member
+		if err := json.Unmarshal(row.Value, &m); err != nil {
+			h.logger.Warn("host's row can't be read", "key", row.Key, "error", err)
+			continue
+		}
+		h.peers.Add(row.Key[len(hostPrefix):], m.Address)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gate/pick/choose.go
@@ -0,0 +1,326 @@
+package pick
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cicadamill/cicadamill/internal/route/place"
+)
+
+// The costs of a choice, as parts of what a request is worth.
+const (
+	// lateCost is what a late answer loses: it is worth about a third.
+	lateCost = 0.7
+	// oldCost is what an answer on replaced weights loses.
+	oldCost = 0.2
+	// failCost is what a broken answer loses.
+	failCost = 1.0
+	// rereadCost is the cost of reading 1,000 shared prompt tokens that some
+	// engine holds, so that reading a long part again costs as much as the
+	// request is worth.
+	rereadCost = 0.25
+	// fetchCost is the cost of copying 1,000 tokens between engines.
+	fetchCost = 0.0012
+	// zoneCost is the cost of 10 kB between data centres.
+	zoneCost = 0.006
+	// waitCost spreads work among targets that are all in time: it is the cost
+	// of taking the whole objective.
+	waitCost = 0.1
+	// strayCost keeps nodes that don't know of each other's choice yet from
+	// reading a new part on several engines.
+	strayCost = 0.08
+)
+
+const (
+	// oldGrace is how long after a version was named answers on the one before
+	// cost nothing.
+	oldGrace = 1200 * time.Millisecond
+	// memoryShare is the part of an engine's memory that running requests may
+	// fill before the engine has to preempt some.
+	memoryShare = 0.9
+	// fetchSetup is the time that a copy takes beside its bytes.
+	fetchSetup = 4 * time.Millisecond
+	// minFetch is the number of tokens from which on a copy saves time.
+	minFetch = 64
+	// plainQueue is how many requests wait at a plain target for each slot
+	// before it refuses more.
+	plainQueue = 2
+	// minRetryAfter is the least pause that a refused client is asked to make.
+	minRetryAfter = 200 * time.Millisecond
+	// tokenText is the size of one output token on the wire, in bytes.
+	tokenText = 30
+)
+
+// option is one target with what it would cost.
+type option struct {
+	t       *target
+	version uint64
+	parts   []part
+	go_     Go
+	cost    float64
+}
+
+// Choose decides about a request. It changes nothing; [State.Start] does.
+func (s *State) Choose(now time.Time, r Request) Verdict {
+	targets := s.services[r.Service]
+	if len(targets) == 0 {
+		return Refuse{Reason: "the service has no target", RetryAfter: time.Second}
+	}
+	var open []*target
+	soon := false
+	for _, t := range targets {
+		switch s.admit(now, t, r) {
+		case admitted:
+			open = append(open, t)
+		case soonAgain:
+			soon = true
+		}
+	}
+	if len(open) == 0 {
+		if soon {
+			return Wait{Reason: "every target is full or loads weights"}
+		}
+		return Refuse{Reason: "no target takes new work", RetryAfter: time.Second}
+	}
+	var best option
+	if s.isModel(r) {
+		best = s.bestEngine(now, open, r)
+	} else {
+		best = s.bestPlain(now, open, r)
+	}
+	if best.go_.Expected > r.Left {
+		return Refuse{Reason: "the answer would come too late", RetryAfter: max(best.go_.Expected/2, minRetryAfter)}
+	}
+	return best.go_
+}
+
+func (s *State) isModel(r Request) bool { return r.Prompt.Model != "" }
+
+type admission int
+
+const (
+	never admission = iota
+	soonAgain
+	admitted
+)
+
+// admit reports whether a target can take a request now.
+func (s *State) admit(now time.Time, t *target, r Request) admission {
+	if t.Leaving || slices.Contains(r.Excluded, t.ID) {
+		return never
+	}
+	if s.isModel(r) {
+		if _, ok := t.Versions[r.Prompt.Model]; !ok && len(t.Versions) > 0 {
+			return never
+		}
+	}
+	if t.emptied || now.Before(t.full) || now.Before(t.suspect) && !r.Idempotent {
+		return soonAgain
+	}
+	if !s.isModel(r) {
+		count, _ := t.work(now)
+		if count.Running >= t.Slots*(1+plainQueue) {
+			return soonAgain
+		}
+	}
+	return admitted
+}
+
+// bestPlain chooses among targets of a plain service.
+func (s *State) bestPlain(now time.Time, open []*target, r Request) option {
+	work := s.speed(r.Service).work
+	best := option{cost: math.Inf(1)}
+	for _, t := range open {
+		count, age := t.work(now)
+		slots := max(t.Slots, 1)
+		expected := work
+		if ahead := count.Running + 1 - slots; ahead > 0 {
+			expected += work * time.Duration(ahead) / time.Duration(slots)
+		}
+		cost := s.common(now, t, r, expected) + waitCost*float64(count.Running)/float64(slots)
+		if t.DataCentre != s.options.DataCentre {
+			cost += zoneCost
+		}
+		if s.better(cost, best.cost) {
+			best = option{t: t, cost: cost, go_: Go{Target: t.Target, Expected: expected, Load: count, Age: age}}
+		}
+	}
+	return best
+}
+
+// better breaks ties at random, so that nodes with the same figures don't all
+// choose the same target.
+func (s *State) better(cost, best float64) bool {
+	return cost < best || cost == best && s.random.IntN(2) == 0
+}
+
+// common is the cost that does not depend on the kind of target.
+func (s *State) common(now time.Time, t *target, r Request, expected time.Duration) float64 {
+	cost := failCost * t.failing
+	if now.Before(t.suspect) {
+		cost += failCost
+	}
+	if now.Before(t.ColdUntil) {
+		cost += waitCost
+	}
+	objective := max(r.Objective, time.Millisecond)
+	share := float64(expected) / float64(objective)
+	cost += waitCost * min(share, 4)
+	// Estimates are rough: the risk of being late rises from two thirds of the
+	// objective on.
+	if risk := (share - 0.66) / 0.34; risk > 0 {
+		cost += lateCost * min(risk, 1)
+	}
+	return cost
+}
+
+// bestEngine chooses among model engines.
+func (s *State) bestEngine(now time.Time, open []*target, r Request) option {
+	chains := map[uint64][]part{}
+	newest := s.wanted[r.Prompt.Model]
+	best := option{cost: math.Inf(1)}
+	owners := s.owners(open, r, chains)
+	for _, t := range open {
+		version := t.Versions[r.Prompt.Model]
+		o := s.weigh(now, t, r, version, s.chainOf(chains, r, version))
+		if version < newest.version && now.Sub(newest.since) > oldGrace {
+			o.cost += oldCost
+		}
+		if owner, ok := owners[version]; ok && owner != t && o.go_.Cached+o.go_.Fetched == 0 {
+			o.cost += strayCost
+		}
+		if s.better(o.cost, best.cost) {
+			best = o
+		}
+	}
+	return best
+}
+
+func (s *State) chainOf(chains map[uint64][]part, r Request, version uint64) []part {
+	parts, ok := chains[version]
+	if !ok {
+		parts = chain(r.Prompt.Model, scopeOf(version, r.Scope), r.Prompt.Parts)
+		chains[version] = parts
+	}
+	return parts
+}
+
+// owners computes, for each version, the engine that reads a part first.
+func (s *State) owners(open []*target, r Request, chains map[uint64][]part) map[uint64]*target {
+	shared := len(r.Prompt.Shared())
+	if shared == 0 {
+		return nil
+	}
+	owners := map[uint64]*target{}
+	scores := map[uint64]float64{}
+	for _, t := range open {
+		version := t.Versions[r.Prompt.Model]
+		key := s.chainOf(chains, r, version)[shared-1].key
+		score := place.Score(key, t.rank)
+		if owners[version] == nil || score > scores[version] {
+			owners[version], scores[version] = t, score
+		}
+	}
+	return owners
+}
+
+// weigh works out what a request would cost at one engine.
+func (s *State) weigh(now time.Time, t *target, r Request, version uint64, parts []part) option {
+	v := s.speed(r.Service)
+	count, age := t.work(now)
+	shared := parts[:len(r.Prompt.Shared())]
+	cached := t.cache.depth(parts)
+	fetched, from, sameZone := 0, "", true
+	if sharedTokens := sum(shared); cached < sharedTokens {
+		fetched, from, sameZone = s.donor(now, t, r.Prompt.Model, version, shared, min(cached, sharedTokens))
+	}
+	miss := max(r.Prompt.Tokens-cached-fetched, 0)
+	fetchTime := s.fetchTime(t, fetched, sameZone)
+	expected := v.first + fetchTime + v.token*time.Duration(count.Prefill+miss)
+	slots := max(t.Slots, 1)
+	cost := s.common(now, t, r, expected) + waitCost*float64(count.Running)/float64(slots)
+	if count.Running >= slots {
+		cost += lateCost
+	}
+	if t.engines != nil {
+		need := count.Memory + r.Prompt.Tokens + r.Prompt.MaxOutput
+		if over := float64(need)/float64(max(t.engines.CacheTokens, 1)) - memoryShare; over > 0 {
+			cost += lateCost
+		}
+	}
+	cost += float64(fetched) / 1000 * fetchCost
+	if reread := s.heldElsewhere(shared) - cached - fetched; reread > 0 {
+		cost += rereadCost * float64(reread) / 1000
+	}
+	if t.DataCentre != s.options.DataCentre {
+		cost += zoneCost * float64(2*r.Prompt.Tokens+tokenText*r.Prompt.MaxOutput) / 10_000
+	}
+	return option{t: t, version: version, parts: parts, cost: cost, go_: Go{
+		Target: t.Target, Version: version, Scope: scopeOf(version, r.Scope), FetchFrom: from, SaveTo: s.saveTo(shared, cached, fetched),
+		Cached: cached, Fetched: fetched, Expected: expected, Load: count, Age: age,
+	}}
+}
+
+// donor finds who holds the most of the shared parts beyond what the engine
+// itself holds.
+func (s *State) donor(now time.Time, t *target, model string, version uint64, shared []part, cached int) (int, string, bool) {
+	best, from, near := cached+minFetch-1, "", false
+	for _, d := range s.services[t.Service] {
+		if d == t || d.Versions[model] != version || now.Before(d.suspect) {
+			continue
+		}
+		tokens, same := d.cache.depth(shared), d.DataCentre == t.DataCentre
+		if tokens > best || tokens == best && from != "" && same && !near {
+			best, from, near = tokens, d.Address, same
+		}
+	}
+	for _, st := range s.stores {
+		if tokens := st.cache.depth(shared); tokens > best {
+			best, from, near = tokens, st.Address, st.DataCentre == t.DataCentre
+		}
+	}
+	if from == "" {
+		return 0, "", true
+	}
+	return best - cached, from, near
+}
+
+func (s *State) fetchTime(t *target, tokens int, sameZone bool) time.Duration {
+	if tokens == 0 || t.engines == nil || t.engines.LinkMbps <= 0 {
+		return 0
+	}
+	bits := float64(tokens) * float64(t.engines.TokenBytes) * 8
+	took := time.Duration(bits / (t.engines.LinkMbps * 1e6) * float64(time.Second))
+	if !sameZone {
+		took *= 2
+	}
+	return took + fetchSetup
+}
+
+// heldElsewhere returns how many tokens of the parts some engine or store holds.
+func (s *State) heldElsewhere(shared []part) int {
+	best := 0
+	for _, t := range s.targets {
+		if t.engines != nil {
+			best = max(best, t.cache.depth(shared))
+		}
+	}
+	return best
+}
+
+// saveTo names a store for parts that nobody holds yet.
+func (s *State) saveTo(shared []part, cached, fetched int) string {
+	if len(s.stores) == 0 || cached+fetched >= sum(shared) {
+		return ""
+	}
+	return s.stores[0].Address
+}
+
+func sum(parts []part) int {
+	total := 0
+	for _, p := range parts {
+		total += p.tokens
+	}
+	return total
+}
--- /dev/null
+++ b/internal/gate/pick/pick.go
@@ -0,0 +1,197 @@
+// Package pick decides which target gets a request: the one where it costs
+// callers least, counting late answers, answers on replaced weights, prompt
+// parts that have to be read again, and bytes between data centres.
+//
+// A node knows its own work exactly and that of others from their reports. It
+// believes a part of a prompt to be where some node placed it last, until the
+// target's memory must have yielded it.
+package pick
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/cicadamill/cicadamill/internal/gate/call"
+	"github.com/cicadamill/cicadamill/internal/gate/plan"
+	"github.com/cicadamill/cicadamill/internal/gate/roster"
+)
+
+// maxPlaced bounds what waits for the next report.
+const maxPlaced = 512
+
+// Options describe the node that decides.
+type Options struct {
+	// DataCentre is where the node stands.
+	DataCentre string
+	// Seed feeds the choice between equals.
+	Seed uint64
+}
+
+// State is what one node believes of all targets.
+type State struct {
+	options  Options
+	random   *rand.Rand
+	targets  map[string]*target
+	services map[string][]*target
+	plan     *plan.Plan
+	wanted   map[string]wanted
+	stores   []*store
+	placed   []Placed
+	speeds   map[string]*speed
+}
+
+// wanted is the newest version of a model's weights and when it was named.
+type wanted struct {
+	version uint64
+	since   time.Time
+}
+
+// part is a shared part with the hash of itself and all before it.
+type part struct {
+	key    uint64
+	tokens int
+}
+
+// New returns a state without targets.
+//
+//	state := pick.New(pick.Options{DataCentre: "tema"})
+//	state.SetPlan(plan)
+//	state.SetTargets(roster.Targets())
+//	verdict := state.Choose(now, request)
+func New(options Options) *State {
+	return &State{
+		options: options, random: rand.New(rand.NewPCG(options.Seed, options.Seed)),
+		targets: map[string]*target{}, services: map[string][]*target{},
+		wanted: map[string]wanted{}, speeds: map[string]*speed{},
+	}
+}
+
+// SetPlan takes a configuration.
+func (s *State) SetPlan(p *plan.Plan) {
+	s.plan = p
+	s.setStores(p.Stores)
+	for _, t := range s.targets {
+		t.engines = p.Services[t.Service].Engines
+		if t.engines != nil {
+			t.cache.capacity = t.engines.CacheTokens
+		}
+	}
+}
+
+// SetTargets takes the list of targets.
+func (s *State) SetTargets(list map[string]roster.Target) {
+	for id := range s.targets {
+		if _, ok := list[id]; !ok {
+			delete(s.targets, id)
+		}
+	}
+	for id, entry := range list {
+		entry.Versions = maps.Clone(entry.Versions)
+		var engines *plan.Engines
+		if s.plan != nil {
+			engines = s.plan.Services[entry.Service].Engines
+		}
+		if t, ok := s.targets[id]; ok {
+			t.update(entry, engines)
+			continue
+		}
+		s.targets[id] = newTarget(entry, engines)
+	}
+	clear(s.services)
+	for _, id := range slices.Sorted(maps.Keys(s.targets)) {
+		t := s.targets[id]
+		s.services[t.Service] = append(s.services[t.Service], t)
+	}
+}
+
+// Want takes the newest version of a model's weights. Versions only rise.
+func (s *State) Want(now time.Time, model string, version uint64) bool {
+	if version <= s.wanted[model].version {
+		return false
+	}
+	since := now
+	if s.wanted[model].version == 0 {
+		since = time.Time{}
+	}
+	s.wanted[model] = wanted{version: version, since: since}
+	return true
+}
+
+// Wanted returns the newest version of each model's weights.
+func (s *State) Wanted() map[string]uint64 {
+	all := make(map[string]uint64, len(s.wanted))
+	for model, w := range s.wanted {
+		all[model] = w.version
+	}
+	return all
+}
+
+// SetEmptied names the targets that are about to load weights and get no new
+// work until then.
+func (s *State) SetEmptied(ids map[string]bool) {
+	for id, t := range s.targets {
+		t.emptied = ids[id]
+	}
+}
+
+// Saw takes the version that a target was seen to serve and reports whether it
+// is news.
+func (s *State) Saw(id string, seen Seen) bool {
+	t, ok := s.targets[id]
+	if !ok || t.Born != seen.Born || t.Versions[seen.Model] >= seen.Version {
+		return false
+	}
+	if t.Versions == nil {
+		t.Versions = map[string]uint64{}
+	}
+	t.Versions[seen.Model] = seen.Version
+	t.forget()
+	return true
+}
+
+// Versions returns the versions that targets are believed to serve.
+func (s *State) Versions() map[string]Seen {
+	all := map[string]Seen{}
+	for id, t := range s.targets {
+		for model, version := range t.Versions {
+			all[id] = Seen{Born: t.Born, Model: model, Version: version}
+		}
+	}
+	return all
+}
+
+// Running returns the requests of all nodes at a target.
+func (s *State) Running(now time.Time, id string) int {
+	t, ok := s.targets[id]
+	if !ok {
+		return 0
+	}
+	count, _ := t.work(now)
+	return count.Running
+}
+
+// scopeOf is the text under which the parts of a request are cached. It differs
+// by version, so that parts made by other weights are never found.
+func scopeOf(version uint64, scope string) string {
+	text := "w" + strconv.FormatUint(version, 10)
+	if scope != "" {
+		text += "/" + scope
+	}
+	return text
+}
+
+// chain hashes parts with all that comes before them.
+func chain(model, scope string, parts []call.Part) []part {
+	hashed := make([]part, 0, len(parts))
+	sum := xxh3.HashString(model + "\x00" + scope)
+	for _, p := range parts {
+		sum = xxh3.HashStringSeed(p.ID, sum)
+		hashed = append(hashed, part{key: sum, tokens: p.Tokens})
+	}
+	return hashed
+}
--- /dev/null
+++ b/internal/gate/pick/run.go
@@ -0,0 +1,175 @@
+package pick
+
+import (
+	"maps"
+	"time"
+)
+
+// Run is a request under way at a target.
+type Run struct {
+	// Target is the target's name.
+	Target string
+	// Began is when it was sent.
+	Began time.Time
+
+	work   Count
+	ahead  int
+	first  bool
+	model  bool
+	tokens int
+	of     *target
+}
+
+// Start notes that a request is sent as [State.Choose] said.
+func (s *State) Start(now time.Time, r Request, g Go) *Run {
+	run := &Run{Target: g.Target.ID, Began: now, model: s.isModel(r)}
+	t, ok := s.targets[g.Target.ID]
+	if !ok {
+		return run
+	}
+	run.of = t
+	run.work = Count{Running: 1}
+	if run.model {
+		miss := max(r.Prompt.Tokens-g.Cached-g.Fetched, 0)
+		run.work.Prefill, run.work.Memory = miss, r.Prompt.Tokens+r.Prompt.MaxOutput
+		run.ahead = g.Load.Prefill + miss
+		s.place(t, r, g)
+	}
+	t.own = t.own.plus(run.work)
+	return run
+}
+
+// place notes where the parts of a prompt come to lie and tells the others.
+func (s *State) place(t *target, r Request, g Go) {
+	parts := chain(r.Prompt.Model, g.Scope, r.Prompt.Parts)
+	shared := len(r.Prompt.Shared())
+	for i := len(parts) - 1; i >= 0; i-- {
+		p := parts[i]
+		t.cache.touch(p.key, p.tokens)
+		s.tell(Placed{Part: p.key, Tokens: p.tokens, Target: t.ID})
+		if g.SaveTo == "" || i >= shared {
+			continue
+		}
+		for _, st := range s.stores {
+			if st.Address == g.SaveTo {
+				st.cache.touch(p.key, p.tokens)
+				s.tell(Placed{Part: p.key, Tokens: p.tokens, Target: st.Name})
+			}
+		}
+	}
+}
+
+func (s *State) tell(p Placed) {
+	if len(s.placed) < maxPlaced {
+		s.placed = append(s.placed, p)
+	}
+}
+
+// First notes the first token of a run, when its prompt has been read.
+func (s *State) First(now time.Time, run *Run) {
+	if run.first || run.of == nil {
+		return
+	}
+	run.first = true
+	run.of.own.Prefill -= run.work.Prefill
+	if run.model {
+		s.speed(run.of.Service).learn(run.ahead, now.Sub(run.Began))
+	}
+	run.of.answered()
+}
+
+// End tells how a run went.
+type End int
+
+// The ends of a run.
+const (
+	// Whole means that the target gave its whole answer.
+	Whole End = iota
+	// Full means that the target refused the run for want of room.
+	Full
+	// Failed means that the target broke the run or answered with an error.
+	Failed
+	// Silent means that the target could not be reached or did not answer.
+	Silent
+	// Cancelled means that the client or this node ended the run.
+	Cancelled
+)
+
+// fullTime is how long a target that has refused gets no work from this node.
+const fullTime = 250 * time.Millisecond
+
+// Finish notes the end of a run.
+func (s *State) Finish(now time.Time, run *Run, end End) {
+	t := run.of
+	if t == nil {
+		return
+	}
+	run.of = nil
+	t.own.Running -= run.work.Running
+	t.own.Memory -= run.work.Memory
+	if !run.first {
+		t.own.Prefill -= run.work.Prefill
+	}
+	switch end {
+	case Whole:
+		t.answered()
+		if !run.model {
+			v := s.speed(t.Service)
+			v.work = blend(v.work, now.Sub(run.Began))
+		}
+	case Full:
+		t.full = now.Add(fullTime)
+	case Failed:
+		t.failed(now, false)
+	case Silent:
+		t.failed(now, true)
+	case Cancelled:
+	}
+}
+
+// Forget drops what is believed of a target's cache.
+func (s *State) Forget(id string) {
+	if t, ok := s.targets[id]; ok {
+		t.forget()
+	}
+}
+
+// Report returns what the other nodes should know, and begins the next report.
+func (s *State) Report(now time.Time) Report {
+	r := Report{Work: map[string]Count{}, Placed: s.placed, Versions: s.Versions()}
+	s.placed = nil
+	for id, t := range s.targets {
+		if t.own != (Count{}) {
+			r.Work[id] = t.own
+		}
+		if now.Before(t.suspect) {
+			r.Suspects = append(r.Suspects, id)
+		}
+	}
+	return r
+}
+
+// Hear takes another node's report.
+func (s *State) Hear(now time.Time, peer string, r Report) {
+	for id, t := range s.targets {
+		if count, ok := r.Work[id]; ok {
+			t.others[peer] = heard{count: count, at: now}
+		} else {
+			delete(t.others, peer)
+		}
+	}
+	for _, p := range r.Placed {
+		if t, ok := s.targets[p.Target]; ok {
+			t.cache.touch(p.Part, p.Tokens)
+			continue
+		}
+		for _, st := range s.stores {
+			if st.Name == p.Target {
+				st.cache.touch(p.Part, p.Tokens)
+			}
+		}
+	}
+	for id, seen := range maps.All(r.Versions) {
+		s.Saw(id, seen)
+	}
+}
--- /dev/null
+++ b/internal/gate/relay/answer.go
@@ -0,0 +1,228 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cicadamill/cicadamill/internal/entry/fault"
+	"github.com/cicadamill/cicadamill/internal/gate/event"
+	"github.com/cicadamill/cicadamill/internal/gate/pick"
+	"github.com/cicadamill/cicadamill/internal/gate/plan"
+	"github.com/cicadamill/cicadamill/internal/safety/effect"
+)
+
+const streamKind = plan.Stream
+
+// maxAnswerBytes bounds an answer that is held until it is whole.
+const maxAnswerBytes = 8 << 20
+
+// answer is a whole answer of a target.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// position is how much of a stream the client has.
+type position struct {
+	// begun is true once the client has the head.
+	begun bool
+	// last is the number of the last event that it has.
+	last string
+}
+
+// connectionHeaders concern one connection and are not passed on.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// EndToEnd returns the headers that concern more than one connection.
+func EndToEnd(all http.Header) http.Header {
+	header := all.Clone()
+	for _, field := range all.Values("Connection") {
+		for name := range strings.SplitSeq(field, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range connectionHeaders {
+		header.Del(name)
+	}
+	return header
+}
+
+// unary passes an answer on once it is whole.
+func (h *Handler) unary(client context.Context, w http.ResponseWriter, s *sending, response *http.Response) result {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	switch {
+	case client.Err() != nil:
+		return gone{}
+	case err != nil:
+		s.end = pick.Failed
+		return broken{reason: "answer broken off: " + reasonOf(err)}
+	case len(body) > maxAnswerBytes:
+		s.end = pick.Failed
+		return broken{reason: "answer too large"}
+	}
+	whole := &answer{status: response.StatusCode, header: EndToEnd(response.Header), body: body}
+	if response.StatusCode >= http.StatusInternalServerError {
+		s.end = pick.Failed
+		return broken{reason: "failure " + strconv.Itoa(response.StatusCode), answer: whole}
+	}
+	s.end = pick.Whole
+	if s.job.stream.begun {
+		return broken{reason: "answer without events"}
+	}
+	h.write(w, s.job, whole)
+	return done{status: whole.status}
+}
+
+// write gives the client a target's answer as it is.
+func (h *Handler) write(w http.ResponseWriter, j *job, a *answer) {
+	header := w.Header()
+	for name, values := range a.header {
+		header[name] = values
+	}
+	if _, ok := header["Content-Type"]; !ok {
+		header["Content-Type"] = nil
+	}
+	header.Set("Content-Length", strconv.Itoa(len(a.body)))
+	w.WriteHeader(a.status)
+	if j.call.Method != http.MethodHead {
+		_, _ = w.Write(a.body)
+	}
+}
+
+// stream passes events on as they come, each whole.
+func (h *Handler) stream(client context.Context, w http.ResponseWriter, s *sending, response *http.Response) result {
+	j := s.job
+	events := event.New(response.Body)
+	controller := http.NewResponseController(w)
+	first := true
+	for {
+		next, err := events.Next()
+		if err != nil && client.Err() != nil {
+			return gone{}
+		}
+		if errors.Is(err, io.EOF) {
+			if !j.stream.begun {
+				h.beginStream(w, j, response)
+			}
+			s.end = pick.Whole
+			return done{status: response.StatusCode}
+		}
+		if err != nil {
+			s.end = pick.Failed
+			return broken{reason: "stream broken off: " + reasonOf(err)}
+		}
+		if first {
+			first = false
+			h.firstEvent(s)
+		}
+		if version, ok := h.options.Codec.EventVersion(next.Raw); ok {
+			h.options.Seen(s.chosen.Target.ID, j.call.Prompt.Model, version)
+		}
+		if !j.stream.begun {
+			h.beginStream(w, j, response)
+		}
+		if _, err := w.Write(next.Raw); err != nil {
+			return gone{}
+		}
+		if next.ID != "" {
+			j.stream.last = next.ID
+		}
+		if !events.Buffered() {
+			if err := controller.Flush(); err != nil {
+				return gone{}
+			}
+		}
+	}
+}
+
+func (h *Handler) beginStream(w http.ResponseWriter, j *job, response *http.Response) {
+	j.stream.begun = true
+	header := w.Header()
+	for name, values := range EndToEnd(response.Header) {
+		header[name] = values
+	}
+	header.Del("Content-Length")
+	w.WriteHeader(response.StatusCode)
+}
+
+func (h *Handler) firstEvent(s *sending) {
+	now := time.Now()
+	h.options.Lock.Lock()
+	h.options.Picks.First(now, s.run)
+	h.options.Lock.Unlock()
+	h.meters.record("first_event", s.job.route.Name, now.Sub(s.job.arrived))
+}
+
+// giveUp ends a request that may have run and may not be sent again.
+func (h *Handler) giveUp(client context.Context, w http.ResponseWriter, j *job, b broken) {
+	if client.Err() != nil {
+		return
+	}
+	if b.answer != nil && !j.stream.begun {
+		h.write(w, j, b.answer)
+		h.finished(j, b.answer.status)
+		return
+	}
+	status := http.StatusBadGateway
+	if !time.Now().Before(j.deadline.Add(-answerMargin)) {
+		status = http.StatusGatewayTimeout
+	}
+	h.refuse(w, j, &fault.Error{
+		Code: "targetBroken", Status: status, Outcome: effect.Unknown{Reason: b.reason}, Message: "the target gave no whole answer",
+	})
+}
+
+// conclude ends a request for which no target was found.
+func (h *Handler) conclude(client context.Context, w http.ResponseWriter, j *job, err error) {
+	if client.Err() != nil {
+		h.meters.count("requests_left", "client")
+		return
+	}
+	var known *fault.Error
+	if !errors.As(err, &known) {
+		known = refusal("tooLate", http.StatusServiceUnavailable, "no target was free in time", 0)
+	}
+	if j.ran > 0 {
+		known = &fault.Error{
+			Code: "targetBroken", Status: http.StatusBadGateway, Outcome: effect.Unknown{Reason: "may have run"},
+			Message: "no target gave a whole answer",
+		}
+	}
+	h.refuse(w, j, known)
+}
+
+// refuse tells the client of a failure of this node's own. A stream that has
+// begun is broken off, so that it can't be taken for a whole one.
+func (h *Handler) refuse(w http.ResponseWriter, j *job, err error) {
+	known := fault.From(err)
+	h.meters.count("requests_refused", known.Code)
+	h.logRefusal(j, known)
+	if j.stream.begun {
+		panic(http.ErrAbortHandler)
+	}
+	body := fault.Encode(known)
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(fault.CodeHeader, known.Code)
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	if known.RetryAfter > 0 {
+		header.Set("Retry-After", h.options.Codec.RetryAfter(known.RetryAfter))
+	}
+	w.WriteHeader(known.Status)
+	_, _ = io.Copy(w, bytes.NewReader(body))
+}
+
+func (h *Handler) finished(j *job, status int) {
+	h.meters.count("requests_answered", strconv.Itoa(status))
+	h.meters.record("request_time", j.route.Name, time.Since(j.arrived))
+}
--- /dev/null
+++ b/internal/gate/relay/lines.go
@@ -0,0 +1,38 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/cicadamill/cicadamill/internal/entry/fault"
+	"github.com/cicadamill/cicadamill/internal/safety/effect"
+)
+
+// logSending writes the line of one sending: why this target, and what came.
+func (h *Handler) logSending(s *sending, r result) {
+	outcome, reason := "answered", ""
+	switch r := r.(type) {
+	case notRun:
+		outcome, reason = "notRun", r.reason
+	case broken:
+		outcome, reason = "broken", r.reason
+	case gone:
+		outcome = "clientGone"
+	}
+	g := s.chosen
+	h.options.Logger.Info("sent", "request", s.job.call.ID, "route", s.job.route.Name, "workspace", s.job.workspace.Name,
+		"target", g.Target.ID, "weights", g.Version, "cached", g.Cached, "fetched", g.Fetched, "from", g.FetchFrom,
+		"running", g.Load.Running, "prefill", g.Load.Prefill, "ageMs", g.Age.Milliseconds(), "expectedMs", g.Expected.Milliseconds(),
+		"config", s.job.plan.Version, "sending", s.job.sent, "lastEvent", s.job.stream.last,
+		"tookMs", time.Since(s.began).Milliseconds(), "outcome", outcome, "reason", reason)
+}
+
+// logRefusal writes the line of a request that this node itself ended.
+func (h *Handler) logRefusal(j *job, f *fault.Error) {
+	config := uint64(0)
+	if j.plan != nil {
+		config = j.plan.Version
+	}
+	h.options.Logger.Info("refused", "request", j.call.ID, "route", j.route.Name, "workspace", j.workspace.Name, "config", config,
+		"status", f.Status, "code", f.Code, "reason", f.Message, "ran", effect.Name(f.Outcome), "sendings", j.sent,
+		"retryAfterMs", f.RetryAfter.Milliseconds(), "tookMs", time.Since(j.arrived).Milliseconds())
+}
--- a/internal/node/orders/orders.go
+++ b/internal/node/orders/orders.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/rand"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -21,6 +22,9 @@
 // Row is the key of the lease in the table.
 const Row = "orders/lease"
 
+// handOverTimeout bounds the calls that give the lease up when the node stops.
+const handOverTimeout = time.Second
+
 // Options are what a [Giver] needs.
 type Options struct {
 	// Config returns the configuration in force.
@@ -34,6 +38,9 @@
 	Term time.Duration
 	// MaxOrder is the longest time that an order may be under way.
 	MaxOrder time.Duration
+	// Turn is the time between the orders of two holders to engines that don't
+	// check fencing numbers; zero means the term and the longest order.
+	Turn time.Duration
 	// Interval is the time between two looks at the engines.
 	Interval time.Duration
 	// Quiet is the time between two looks while every engine serves what is wanted.
@@ -59,6 +66,7 @@
 	orders  order.State
 	fence   uint64
 	looked  time.Time
+	granted atomic.Pointer[lease.Grant]
 }
 
 // New returns a giver that competes for the lease once it is served.
@@ -78,6 +86,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			g.handOver(ctx)
 			return ctx.Err()
 		case <-ticker.C:
 		}
@@ -93,6 +102,7 @@
 // just got it.
 func (g *Giver) holds() bool {
 	grant := g.lease.Grant()
+	g.granted.Store(&grant)
 	held := grant.Covers(time.Now(), 0)
 	gauge := 0.0
 	if held {
@@ -134,16 +144,48 @@
 		}
 		w.NotBefore = taken.Add(g.options.MaxOrder + g.options.Bounds.Settle)
 		if !e.ChecksFence {
-			w.NotBefore = taken.Add(g.options.Term + g.options.MaxOrder)
+			w.NotBefore = taken.Add(g.turn())
 		}
 		engines[e.Name] = w
 	}
 	return engines
 }
 
+// turn returns the time after taking the lease before which another holder's
+// orders may still be under way.
+func (g *Giver) turn() time.Duration {
+	if g.options.Turn > 0 {
+		return g.options.Turn
+	}
+	return g.options.Term + g.options.MaxOrder
+}
+
+// handOver gives the lease up, so that another node can take it at once. No
+// order is under way any more.
+func (g *Giver) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), handOverTimeout)
+	defer cancel()
+	held := g.lease.Grant().Fence > 0
+	g.drive(ctx, lease.Leave{})
+	if held {
+		g.options.Logger.Info("gave up the lease for orders", "fence", g.fence)
+	}
+}
+
+// Fence returns the fencing number while this node holds the lease, else zero.
+// It may be called from any goroutine.
+func (g *Giver) Fence() uint64 {
+	grant := g.granted.Load()
+	if grant == nil || !grant.Covers(time.Now(), 0) {
+		return 0
+	}
+	return grant.Fence
+}
+
 // keepLease carries out what the lease slice wants, until it waits.
-func (g *Giver) keepLease(ctx context.Context) {
-	var message lease.Message = lease.Tick{}
+func (g *Giver) keepLease(ctx context.Context) { g.drive(ctx, lease.Tick{}) }
+
+func (g *Giver) drive(ctx context.Context, message lease.Message) {
 	for message != nil {
 		var commands []lease.Command
 		g.lease, commands = g.lease.Update(time.Now(), message)
--- a/internal/safety/lease/lease.go
+++ b/internal/safety/lease/lease.go
@@ -70,6 +70,8 @@
 	// read.
 	seen   uint64
 	seenAt time.Time
+	// leaving is true once the lease is given up for good.
+	leaving bool
 }
 
 // New returns the state of a process without the lease. No two processes, nor
@@ -86,8 +88,16 @@
 // Update takes a message at a time and returns what to do next.
 func (s State) Update(now time.Time, message Message) (State, []Command) {
 	switch m := message.(type) {
+	case Leave:
+		if s.leaving || s.grant.Fence == 0 {
+			s.leaving = true
+			return s, nil
+		}
+		s.leaving = true
+		s.grant = Grant{}
+		return s.read()
 	case Tick:
-		if s.phase != idle || now.Before(s.next) {
+		if s.leaving || s.phase != idle || now.Before(s.next) {
 			return s, nil
 		}
 		return s.read()
@@ -96,11 +106,11 @@
 			return s.look(now, m)
 		}
 	case Written:
-		if s.phase == writing {
+		if s.phase == writing && !s.leaving {
 			return s.confirm(now), nil
 		}
 	case Unsure:
-		if s.phase == writing {
+		if s.phase == writing && !s.leaving {
 			return s.read()
 		}
 	case Down:
@@ -120,6 +130,9 @@
 // look takes the row as it was read.
 func (s State) look(now time.Time, row Row) (State, []Command) {
 	mine := row.Version > 0 && row.Record.Holder == s.me
+	if s.leaving {
+		return s.release(row, mine)
+	}
 	switch {
 	case mine && s.open && row.Record.Beat == s.beat:
 		return s.confirm(now), nil
@@ -134,6 +147,18 @@
 	return s.watch(now, row)
 }
 
+// release empties the row if it is still this process's.
+func (s State) release(row Row, mine bool) (State, []Command) {
+	if !mine {
+		s.phase = idle
+		return s, nil
+	}
+	s.phase = writing
+	record := row.Record
+	record.Holder = ""
+	return s, []Command{Write{Record: record, IfVersion: row.Version}}
+}
+
 // watch waits until the row has stayed as it is for its whole term.
 func (s State) watch(now time.Time, row Row) (State, []Command) {
 	if s.seen != row.Version {
--- a/internal/safety/lease/message.go
+++ b/internal/safety/lease/message.go
@@ -1,7 +1,7 @@
 package lease
 
 // Message tells a [State] what happened. It is one of [Tick], [Row], [Written],
-// [Unsure] or [Down].
+// [Unsure], [Down] or [Leave].
 type Message interface{ message() }
 
 // Tick lets time pass.
@@ -24,6 +24,11 @@
 // Down means that a read failed, or that a write certainly had no effect.
 type Down struct{}
 
+// Leave gives the lease up, so that another process need not wait for its end.
+// It must be sent after the last act under the grant.
+type Leave struct{}
+
+func (Leave) message()   {}
 func (Tick) message()    {}
 func (Row) message()     {}
 func (Written) message() {}
--- a/internal/safety/order/order.go
+++ b/internal/safety/order/order.go
@@ -29,6 +29,8 @@
 type Options struct {
 	// MaxLoads is the number of weight loads at once at the site.
 	MaxLoads int
+	// LoadShare raises MaxLoads to one in so many engines; zero leaves it.
+	LoadShare int
 	// LoadInterval is the least time between the starts of two loads.
 	LoadInterval time.Duration
 	// LoadTimeout is when a load that is not seen done counts as failed.
@@ -37,6 +39,11 @@
 	Settle time.Duration
 	// MaxAge is how old a report may be to count.
 	MaxAge time.Duration
+	// Patience is how long an engine may take to end its work before weights are
+	// loaded beside what is left of it; zero means as long as it needs.
+	Patience time.Duration
+	// KeepTrying is true when a version is never given up for failed loads.
+	KeepTrying bool
 }
 
 // Wanted is what an engine should serve.
@@ -80,8 +87,9 @@
 	loadFrom time.Time
 	// unsure is true when that load may not have reached the engine.
 	unsure bool
-	// role is the last role ordered.
-	role string
+	// role is the last role ordered, and drainFrom when that was to drain.
+	role      string
+	drainFrom time.Time
 	// quiet is until when reports may still be older than the last order.
 	quiet time.Time
 }
@@ -150,6 +158,11 @@
 		k.loadFrom = time.Time{}
 		k.quiet = time.Time{}
 	}
+	if k.unsure && !k.loadFrom.IsZero() && !m.Load.Loading && k.id == 0 && !now.Before(k.quiet) {
+		// The engine does not load: the order was lost, or is yet to come, which
+		// the engine refuses once it has accepted the next one.
+		k.loadFrom, k.unsure = time.Time{}, false
+	}
 	s.engines[m.Engine] = k
 }
 
@@ -190,7 +203,7 @@
 // last good one when the wanted one fails to load.
 func (s State) target(wanted Wanted) string {
 	good, ok := s.good[wanted.Model]
-	if ok && s.failures[version{wanted.Model, wanted.WeightVersion}] >= maxFailures {
+	if ok && !s.options.KeepTrying && s.failures[version{wanted.Model, wanted.WeightVersion}] >= maxFailures {
 		return good
 	}
 	return wanted.WeightVersion
@@ -277,6 +290,9 @@
 	}
 	if role, ok := o.(engine.SetRole); ok {
 		k.role = role.Role
+		if role.Role == RoleDrain {
+			k.drainFrom = now
+		}
 	}
 	s.engines[name] = k
 	return Send{ID: s.lastID, Engine: name, Order: o}
--- a/internal/safety/order/rules.go
+++ b/internal/safety/order/rules.go
@@ -16,11 +16,19 @@
 	return engine.SetRole{Role: RoleServe}
 }
 
+// emptied reports whether an engine has ended its work, or has had its time to.
+func (s State) emptied(now time.Time, k known) bool {
+	if k.load.Role != RoleDrain {
+		return false
+	}
+	waited := s.options.Patience > 0 && now.Sub(k.drainFrom) >= s.options.Patience
+	return waited || k.load.Running+k.load.Waiting == 0
+}
+
 // load loads weights into an engine that has drained.
 func (s State) load(now time.Time, name string, k known) engine.Order {
 	wanted := s.wanted[name]
-	drained := k.load.Role == RoleDrain && k.load.Running+k.load.Waiting == 0
-	if !drained || k.load.Loading || !k.loadFrom.IsZero() || k.load.WeightVersion == s.target(wanted) || !s.mayLoad(now) {
+	if !s.emptied(now, k) || k.load.Loading || !k.loadFrom.IsZero() || k.load.WeightVersion == s.target(wanted) || !s.mayLoad(now) {
 		return nil
 	}
 	return engine.LoadModel{Model: wanted.Model, WeightVersion: s.target(wanted)}
@@ -31,7 +39,15 @@
 	if now.Before(s.holdLoad) || !s.lastLoad.IsZero() && now.Sub(s.lastLoad) < s.options.LoadInterval {
 		return false
 	}
-	return s.loads() < s.options.MaxLoads
+	return s.loads() < s.maxLoads()
+}
+
+// maxLoads is the number of engines that may load at once.
+func (s State) maxLoads() int {
+	if s.options.LoadShare <= 0 {
+		return s.options.MaxLoads
+	}
+	return max(s.options.MaxLoads, len(s.wanted)/s.options.LoadShare)
 }
 
 // loads counts the loads that may be under way, those of an earlier holder too.
@@ -67,7 +83,7 @@
 		return nil
 	}
 	staying, all, out := s.count(now, wanted.Model, name)
-	if out >= s.options.MaxLoads || staying < least(all) {
+	if out >= s.maxLoads() || staying < least(all) {
 		return nil
 	}
 	return engine.SetRole{Role: RoleDrain}
