--- a/internal/gate/feed/feed.go
+++ b/internal/gate/feed/feed.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -104,6 +105,7 @@
 	listed bool
 	after  uint64
 	failed time.Time
+	lost   atomic.Bool
 }
 
 // New returns a feed that has read nothing yet.
@@ -134,6 +136,9 @@
 	return f.after
 }
 
+// Lost reports whether the store does not answer this node.
+func (f *Feed) Lost() bool { return f.lost.Load() }
+
 // Serve runs until the context ends.
 func (f *Feed) Serve(ctx context.Context) error {
 	backoff := minBackoff
@@ -259,6 +264,7 @@
 	f.options.Scope.Counter("feed_failures").Inc(1)
 	if f.failed.IsZero() {
 		f.failed = time.Now()
+		f.lost.Store(true)
 		f.options.Logger.Warn("store lost", "table", f.options.Table, "version", f.Version(), "error", err)
 	}
 }
@@ -269,6 +275,7 @@
 	}
 	f.options.Logger.Info("store regained", "table", f.options.Table, "version", f.Version(), "awayMs", time.Since(f.failed).Milliseconds())
 	f.failed = time.Time{}
+	f.lost.Store(false)
 	if f.options.Regained != nil {
 		f.options.Regained()
 	}
--- a/internal/gate/host/know.go
+++ b/internal/gate/host/know.go
@@ -85,7 +85,7 @@
 		case NewPlan:
 			h.apply(n)
 		case NewWeights:
-			h.noteWeights(n)
+			h.noteWeights(n.Model, pick.Named{Version: n.Version})
 		}
 	}
 }
@@ -111,19 +111,23 @@
 }
 
 // noteWeights takes the newest version of a model's weights.
-func (h *Host) noteWeights(n NewWeights) {
+func (h *Host) noteWeights(model string, named pick.Named) {
 	h.mu.Lock()
-	news := h.picks.Want(time.Now(), n.Model, n.Version)
+	news := h.picks.Want(time.Now(), model, named)
 	h.mu.Unlock()
 	if news {
-		h.logger.Info("weights named", "model", n.Model, "weights", n.Version)
+		h.logger.Info("weights named", "model", model, "weights", named.Version, "ageMs", named.Age.Milliseconds())
 	}
 }
 
 func (h *Host) wanted() map[string]uint64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.picks.Wanted()
+	versions := map[string]uint64{}
+	for model, named := range h.picks.Wanted(time.Now()) {
+		versions[model] = named.Version
+	}
+	return versions
 }
 
 func (h *Host) running(id string) int {
@@ -236,6 +240,7 @@
 		h.mu.Lock()
 		expired := h.roster.Expire(now)
 		h.picks.SetEmptied(emptied)
+		h.picks.SetOnly(now, h.onlyAfter())
 		h.mu.Unlock()
 		if expired {
 			h.logger.Info("targets removed whose entries stayed missing")
@@ -248,11 +253,24 @@
 	}
 }
 
+// newWeightsMargin is how long before the operators' bound older weights stop
+// answering: what a request may wait at an engine before it begins.
+const newWeightsMargin = 1200 * time.Millisecond
+
+// onlyAfter returns the time after which only the newest weights may answer. A
+// host that the store has left can't tell whether they could be loaded.
+func (h *Host) onlyAfter() time.Duration {
+	if h.feeds[h.platform.OperatorTable].Lost() {
+		return 0
+	}
+	return h.settings.Bounds.NewWeights - newWeightsMargin
+}
+
 // compose returns what the peers should know.
 func (h *Host) compose() peers.Message {
 	now := time.Now()
 	h.mu.Lock()
-	message := peers.Message{Report: h.picks.Report(now), Wanted: h.picks.Wanted()}
+	message := peers.Message{Report: h.picks.Report(now), Wanted: h.picks.Wanted(now)}
 	h.mu.Unlock()
 	message.Emptied = h.emptied()
 	return message
@@ -274,8 +292,8 @@
 	h.mu.Lock()
 	h.picks.Hear(now, m.From, m.Report)
 	h.mu.Unlock()
-	for model, version := range m.Wanted {
-		h.noteWeights(NewWeights{Model: model, Version: version})
+	for model, named := range m.Wanted {
+		h.noteWeights(model, named)
 	}
 }
 
--- a/internal/gate/peers/peers.go
+++ b/internal/gate/peers/peers.go
@@ -60,7 +60,7 @@
 	// Report is its work.
 	Report pick.Report `json:"report"`
 	// Wanted is the newest version of each model's weights that it knows.
-	Wanted map[string]uint64 `json:"wanted,omitempty"`
+	Wanted map[string]pick.Named `json:"wanted,omitempty"`
 	// Emptied is set by the holder of the lease for orders.
 	Emptied *Emptied `json:"emptied,omitempty"`
 	// Leaving is true when the sender ends.
--- a/internal/gate/pick/choose.go
+++ b/internal/gate/pick/choose.go
@@ -111,9 +111,13 @@
 		return never
 	}
 	if s.isModel(r) {
-		if _, ok := t.Versions[r.Prompt.Model]; !ok && len(t.Versions) > 0 {
+		version, ok := t.Versions[r.Prompt.Model]
+		if !ok && len(t.Versions) > 0 {
 			return never
 		}
+		if w := s.wanted[r.Prompt.Model]; w.only && version < w.version {
+			return soonAgain
+		}
 	}
 	if t.emptied || now.Before(t.full) || now.Before(t.suspect) && !r.Idempotent {
 		return soonAgain
--- a/internal/gate/pick/message.go
+++ b/internal/gate/pick/message.go
@@ -117,3 +117,11 @@
 	// Version is the version of its weights.
 	Version uint64 `json:"version"`
 }
+
+// Named is the newest version of a model's weights.
+type Named struct {
+	// Version is the version.
+	Version uint64 `json:"version"`
+	// Age is how long ago it was named, as far as is known.
+	Age time.Duration `json:"ageNanos"`
+}
--- a/internal/gate/pick/pick.go
+++ b/internal/gate/pick/pick.go
@@ -45,10 +45,12 @@
 	speeds   map[string]*speed
 }
 
-// wanted is the newest version of a model's weights and when it was named.
+// wanted is the newest version of a model's weights, when it was named, and
+// whether no older one may answer any more.
 type wanted struct {
 	version uint64
 	since   time.Time
+	only    bool
 }
 
 // part is a shared part with the hash of itself and all before it.
@@ -109,24 +111,39 @@
 	}
 }
 
-// Want takes the newest version of a model's weights. Versions only rise.
-func (s *State) Want(now time.Time, model string, version uint64) bool {
-	if version <= s.wanted[model].version {
+// Want takes the newest version of a model's weights, named so long ago as far
+// as the sender knows, and reports whether it is news. Versions only rise.
+func (s *State) Want(now time.Time, model string, named Named) bool {
+	since := now.Add(-named.Age)
+	old := s.wanted[model]
+	switch {
+	case named.Version < old.version:
+		return false
+	case named.Version == old.version:
+		if since.Before(old.since) {
+			old.since = since
+			s.wanted[model] = old
+		}
 		return false
 	}
-	since := now
-	if s.wanted[model].version == 0 {
-		since = time.Time{}
-	}
-	s.wanted[model] = wanted{version: version, since: since}
+	s.wanted[model] = wanted{version: named.Version, since: since}
 	return true
 }
 
+// SetOnly makes the newest weights the only ones that may answer once they were
+// named so long ago; zero lets older ones answer too.
+func (s *State) SetOnly(now time.Time, after time.Duration) {
+	for model, w := range s.wanted {
+		w.only = after > 0 && now.Sub(w.since) >= after
+		s.wanted[model] = w
+	}
+}
+
 // Wanted returns the newest version of each model's weights.
-func (s *State) Wanted() map[string]uint64 {
-	all := make(map[string]uint64, len(s.wanted))
+func (s *State) Wanted(now time.Time) map[string]Named {
+	all := make(map[string]Named, len(s.wanted))
 	for model, w := range s.wanted {
-		all[model] = w.version
+		all[model] = Named{Version: w.version, Age: now.Sub(w.since)}
 	}
 	return all
 }
--- a/internal/safety/order/order.go
+++ b/internal/safety/order/order.go
@@ -71,6 +71,8 @@
 	failures map[version]int
 	lastLoad time.Time
 	holdLoad time.Time
+	// loadTime is how long a load has taken lately; zero before the first.
+	loadTime time.Duration
 	lastID   uint64
 }
 
@@ -155,6 +157,7 @@
 	}
 	k.load, k.seenAt = m.Load, now
 	if !k.loadFrom.IsZero() && !m.Load.Loading && m.Load.WeightVersion == k.loaded.weights {
+		s.loadTime = now.Sub(k.loadFrom)
 		k.loadFrom = time.Time{}
 		k.quiet = time.Time{}
 	}
@@ -216,6 +219,7 @@
 	s.learn(now)
 	var commands []Command
 	names := slices.Sorted(maps.Keys(s.engines))
+	s.sortOldest(names)
 	for _, decide := range []func(time.Time, string, known) engine.Order{s.back, s.load, s.adapter, s.drain} {
 		for _, name := range names {
 			k := s.engines[name]
--- a/internal/safety/order/rules.go
+++ b/internal/safety/order/rules.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -89,12 +90,28 @@
 	return engine.SetRole{Role: RoleDrain}
 }
 
+// sortOldest puts the engines first whose weights are the oldest: when versions
+// are named faster than all engines can load them, none is left far behind.
+func (s State) sortOldest(names []string) {
+	slices.SortStableFunc(names, func(a, b string) int {
+		x, y := s.engines[a].load.WeightVersion, s.engines[b].load.WeightVersion
+		return cmp.Or(cmp.Compare(len(x), len(y)), cmp.Compare(x, y))
+	})
+}
+
+// nearlyLoaded reports whether an engine's load will end by the time in which
+// another engine empties.
+func (s State) nearlyLoaded(now time.Time, k known) bool {
+	return !k.loadFrom.IsZero() && s.loadTime > 0 && s.options.Patience > 0 && now.Sub(k.loadFrom)+s.options.Patience >= s.loadTime
+}
+
 // count counts the other engines of a model that certainly serve, all engines
-// of the model, and the engines of the site that are out of work.
+// of the model, and the engines of the site that are out of work for longer than
+// another one needs to empty.
 func (s State) count(now time.Time, model, except string) (staying, all, out int) {
 	for name, wanted := range s.wanted {
 		k, seen := s.engines[name]
-		if seen && k.out(now) {
+		if seen && k.out(now) && !s.nearlyLoaded(now, k) {
 			out++
 		}
 		if wanted.Model != model {
