--- a/internal/gate/doors/doors.go
+++ b/internal/gate/doors/doors.go
@@ -68,6 +68,7 @@
 	go func(context.Context) { accepted <- d.accept() }(ctx)
 	select {
 	case err := <-accepted:
+		<-ctx.Done()
 		return err
 	case <-ctx.Done():
 		_ = d.listener.Close()
@@ -80,7 +81,7 @@
 	for {
 		conn, err := d.listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
-			return err
+			return nil
 		}
 		if err != nil {
 			// A lack of descriptors ends when connections do.
@@ -97,8 +98,10 @@
 	}
 }
 
-// CloseIdle ends idle connections and asks clients of all others to end theirs.
-func (d *Doors) CloseIdle() {
+// Close takes no more connections, ends idle ones and asks the clients of all
+// others to end theirs. A client that is turned away here has sent nothing.
+func (d *Doors) Close() {
+	_ = d.listener.Close()
 	for _, h := range d.halls() {
 		h.server.SetKeepAlivesEnabled(false)
 	}
--- a/internal/gate/host/drain.go
+++ b/internal/gate/host/drain.go
@@ -55,7 +55,7 @@
 	case <-lag.C:
 	case <-time.After(time.Until(end)):
 	}
-	h.doors.CloseIdle()
+	h.doors.Close()
 	for h.relay.Active() > 0 && time.Now().Before(end) {
 		select {
 		case <-h.relay.Idle():
--- a/internal/gate/host/know.go
+++ b/internal/gate/host/know.go
@@ -240,7 +240,7 @@
 		h.mu.Lock()
 		expired := h.roster.Expire(now)
 		h.picks.SetEmptied(emptied)
-		h.picks.SetOnly(now, h.onlyAfter())
+		h.picks.SetFloor(now, h.oldestAge())
 		h.mu.Unlock()
 		if expired {
 			h.logger.Info("targets removed whose entries stayed missing")
@@ -253,13 +253,13 @@
 	}
 }
 
-// newWeightsMargin is how long before the operators' bound older weights stop
-// answering: what a request may wait at an engine before it begins.
+// newWeightsMargin is how long before the operators' bound replaced weights
+// stop answering: what a request may wait at an engine before it begins.
 const newWeightsMargin = 1200 * time.Millisecond
 
-// onlyAfter returns the time after which only the newest weights may answer. A
+// oldestAge returns how long ago weights may have been replaced and answer. A
 // host that the store has left can't tell whether they could be loaded.
-func (h *Host) onlyAfter() time.Duration {
+func (h *Host) oldestAge() time.Duration {
 	if h.feeds[h.platform.OperatorTable].Lost() {
 		return 0
 	}
--- a/internal/gate/pick/choose.go
+++ b/internal/gate/pick/choose.go
@@ -115,7 +115,7 @@
 		if !ok && len(t.Versions) > 0 {
 			return never
 		}
-		if w := s.wanted[r.Prompt.Model]; w.only && version < w.version {
+		if version < s.wanted[r.Prompt.Model].floor {
 			return soonAgain
 		}
 	}
@@ -182,13 +182,13 @@
 // bestEngine chooses among model engines.
 func (s *State) bestEngine(now time.Time, open []*target, r Request) option {
 	chains := map[uint64][]part{}
-	newest := s.wanted[r.Prompt.Model]
+	named := s.wanted[r.Prompt.Model]
 	best := option{cost: math.Inf(1)}
 	owners := s.owners(open, r, chains)
 	for _, t := range open {
 		version := t.Versions[r.Prompt.Model]
 		o := s.weigh(now, t, r, version, s.chainOf(chains, r, version))
-		if version < newest.version && now.Sub(newest.since) > oldGrace {
+		if since, old := named.replaced(version); old && now.Sub(since) > oldGrace {
 			o.cost += oldCost
 		}
 		if owner, ok := owners[version]; ok && owner != t && o.go_.Cached+o.go_.Fetched == 0 {
--- a/internal/gate/pick/pick.go
+++ b/internal/gate/pick/pick.go
@@ -21,6 +21,9 @@
 	"github.com/cicadamill/cicadamill/internal/gate/roster"
 )
 
+// maxNamed bounds the versions of a model that are remembered.
+const maxNamed = 16
+
 // maxPlaced bounds what waits for the next report.
 const maxPlaced = 512
 
@@ -45,12 +48,35 @@
 	speeds   map[string]*speed
 }
 
-// wanted is the newest version of a model's weights, when it was named, and
-// whether no older one may answer any more.
+// wanted is what was named of a model's weights.
 type wanted struct {
+	// named are the versions in rising order, each with the time of its naming.
+	named []naming
+	// floor is the oldest version that may answer.
+	floor uint64
+}
+
+type naming struct {
 	version uint64
 	since   time.Time
-	only    bool
+}
+
+// newest returns the newest version; zero if none was named.
+func (w wanted) newest() naming {
+	if len(w.named) == 0 {
+		return naming{}
+	}
+	return w.named[len(w.named)-1]
+}
+
+// replaced returns when the first version after another one was named.
+func (w wanted) replaced(version uint64) (time.Time, bool) {
+	for _, n := range w.named {
+		if n.version > version {
+			return n.since, true
+		}
+	}
+	return time.Time{}, false
 }
 
 // part is a shared part with the hash of itself and all before it.
@@ -115,26 +141,32 @@
 // as the sender knows, and reports whether it is news. Versions only rise.
 func (s *State) Want(now time.Time, model string, named Named) bool {
 	since := now.Add(-named.Age)
-	old := s.wanted[model]
+	w := s.wanted[model]
+	newest := w.newest()
 	switch {
-	case named.Version < old.version:
+	case named.Version < newest.version:
 		return false
-	case named.Version == old.version:
-		if since.Before(old.since) {
-			old.since = since
-			s.wanted[model] = old
+	case named.Version == newest.version && newest.version > 0:
+		if last := &w.named[len(w.named)-1]; since.Before(last.since) {
+			last.since = since
 		}
 		return false
 	}
-	s.wanted[model] = wanted{version: named.Version, since: since}
+	w.named = append(w.named[max(0, len(w.named)-maxNamed):], naming{version: named.Version, since: since})
+	s.wanted[model] = w
 	return true
 }
 
-// SetOnly makes the newest weights the only ones that may answer once they were
-// named so long ago; zero lets older ones answer too.
-func (s *State) SetOnly(now time.Time, after time.Duration) {
+// SetFloor keeps weights from answering which were replaced so long ago; zero
+// lets all answer.
+func (s *State) SetFloor(now time.Time, after time.Duration) {
 	for model, w := range s.wanted {
-		w.only = after > 0 && now.Sub(w.since) >= after
+		w.floor = 0
+		for _, n := range w.named {
+			if after > 0 && now.Sub(n.since) >= after {
+				w.floor = n.version
+			}
+		}
 		s.wanted[model] = w
 	}
 }
@@ -143,7 +175,8 @@
 func (s *State) Wanted(now time.Time) map[string]Named {
 	all := make(map[string]Named, len(s.wanted))
 	for model, w := range s.wanted {
-		all[model] = Named{Version: w.version, Age: now.Sub(w.since)}
+		newest := w.newest()
+		all[model] = Named{Version: newest.version, Age: now.Sub(newest.since)}
 	}
 	return all
 }
