--- a/internal/entry/limit/conn.go
+++ b/internal/entry/limit/conn.go
@@ -36,6 +36,9 @@
 	partial  atomic.Bool
 }
 
+// NetConn returns the connection below.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Read implements [net.Conn].
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/gate/doors/doors.go
+++ b/internal/gate/doors/doors.go
@@ -22,7 +22,7 @@
 	limits  local.Limits
 	current *hall
 	old     []*hall
-	ended   chan error
+	open    map[*conn]struct{}
 }
 
 // hall is one server with the connections that it was given.
@@ -40,7 +40,7 @@
 //	go front.Serve(ctx)
 //	front.SetLimits(next)
 func New(listener net.Listener, handler http.Handler, limits local.Limits) *Doors {
-	d := &Doors{listener: listener, handler: handler, ended: make(chan error, 1)}
+	d := &Doors{listener: listener, handler: handler, open: map[*conn]struct{}{}}
 	d.SetLimits(limits)
 	return d
 }
@@ -58,6 +58,7 @@
 	h := &hall{
 		server: limit.Server(d.handler, limits), conns: make(chan net.Conn), closed: make(chan struct{}), addr: d.listener.Addr(),
 	}
+	h.server.ConnState = connState
 	d.limits, d.current = limits, h
 	go func() { _ = h.server.Serve(limit.Listen(h)) }()
 }
@@ -79,7 +80,7 @@
 
 func (d *Doors) accept() error {
 	for {
-		conn, err := d.listener.Accept()
+		accepted, err := d.listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
@@ -87,23 +88,33 @@
 			// A lack of descriptors ends when connections do.
 			continue
 		}
+		tracked := &conn{Conn: accepted, idle: true, ended: d.forget}
 		d.mu.Lock()
 		h := d.current
+		d.open[tracked] = struct{}{}
 		d.mu.Unlock()
 		select {
-		case h.conns <- conn:
+		case h.conns <- tracked:
 		case <-h.closed:
-			_ = conn.Close()
+			_ = tracked.Close()
 		}
 	}
 }
 
+func (d *Doors) forget(c *conn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.open, c)
+}
+
 // Close takes no more connections, ends idle ones and asks the clients of all
 // others to end theirs. A client that is turned away here has sent nothing.
 func (d *Doors) Close() {
 	_ = d.listener.Close()
-	for _, h := range d.halls() {
-		h.server.SetKeepAlivesEnabled(false)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for c := range d.open {
+		c.closeIdle()
 	}
 }
 
--- a/internal/gate/feed/feed.go
+++ b/internal/gate/feed/feed.go
@@ -35,6 +35,8 @@
 	Rows []Row `json:"rows"`
 	// Version is the version of the store that the page shows.
 	Version uint64 `json:"version"`
+	// Clock is the store's steady clock when it answered; zero if not told.
+	Clock time.Duration `json:"clockNanos,omitempty"`
 }
 
 // Source reads a table.
--- a/internal/gate/host/drain.go
+++ b/internal/gate/host/drain.go
@@ -13,6 +13,8 @@
 	balancerLag = 2500 * time.Millisecond
 	// exitMargin is how long before the end of the grace the process ends.
 	exitMargin = 600 * time.Millisecond
+	// closeStep is how often connections are closed that have become idle.
+	closeStep = 50 * time.Millisecond
 	// closeTime bounds the end of the last connections.
 	closeTime = 200 * time.Millisecond
 )
@@ -55,11 +57,14 @@
 	case <-lag.C:
 	case <-time.After(time.Until(end)):
 	}
-	h.doors.Close()
-	for h.relay.Active() > 0 && time.Now().Before(end) {
+	for time.Now().Before(end) {
+		h.doors.Close()
+		if h.relay.Active() == 0 {
+			break
+		}
 		select {
 		case <-h.relay.Idle():
-		case <-time.After(time.Until(end)):
+		case <-time.After(closeStep):
 		}
 	}
 	if left := h.relay.Active(); left > 0 {
--- a/internal/gate/host/host.go
+++ b/internal/gate/host/host.go
@@ -93,6 +93,8 @@
 	Table table.Client
 	// Engines speaks to engines.
 	Engines desk.Engines
+	// OwnTable is the name of that table for Source.
+	OwnTable string
 	// OperatorTable is where operators write, TargetTable is the list of targets.
 	OperatorTable, TargetTable string
 	// Operator reads a row of the operators; nil news are none of ours.
@@ -185,6 +187,7 @@
 	supervisor.Add(h.doors)
 	supervisor.Add(&service{run: h.keep})
 	supervisor.Add(&service{run: h.register})
+	supervisor.Add(&service{run: h.keepNamings})
 	for name, listener := range h.sideListeners() {
 		supervisor.Add(&service{run: func(ctx context.Context) error { return h.serveSide(ctx, name, listener) }})
 	}
--- a/internal/gate/host/know.go
+++ b/internal/gate/host/know.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -12,7 +11,6 @@
 	"github.com/cicadamill/cicadamill/internal/gate/peers"
 	"github.com/cicadamill/cicadamill/internal/gate/pick"
 	"github.com/cicadamill/cicadamill/internal/gate/roster"
-	"github.com/cicadamill/cicadamill/internal/infra/table"
 	"github.com/cicadamill/cicadamill/internal/node/orders"
 	"github.com/cicadamill/cicadamill/internal/safety/order"
 )
@@ -20,23 +18,16 @@
 const (
 	// keepInterval is how often beliefs that end with time are looked at.
 	keepInterval = 50 * time.Millisecond
-	// registerInterval is how often a host reads which other hosts there are;
-	// hosts that serve tell each other sooner.
-	registerInterval = 10 * time.Second
-	// registerRetry is the pause after a failed registration.
-	registerRetry = time.Second
-	// registerTimeout bounds one call to the store.
-	registerTimeout = time.Second
-	// maxHosts bounds the rows read at a time.
-	maxHosts = 500
-	// hostPrefix begins the keys of the rows of hosts.
-	hostPrefix = "hosts/"
 )
 
 const (
 	// lookInterval is how often the holder of the lease looks at the engines; an
 	// engine's report is about 100 ms old.
 	lookInterval = 100 * time.Millisecond
+	// termShare is the term of the lease for orders in percent of the least time
+	// between two holders' orders: a shorter term is renewed more often, a longer
+	// one leaves engines without orders for longer.
+	termShare = 66
 	// maxOrderTime bounds one order on its way.
 	maxOrderTime = 700 * time.Millisecond
 	// emptyTime is how long an engine may finish its work before new weights are
@@ -59,7 +50,7 @@
 func (h *Host) giverOptions() orders.Options {
 	bounds := h.settings.Bounds
 	return orders.Options{
-		Config: h.desk.Config, Dial: h.desk.Dial, Table: h.platform.Table, Term: bounds.Lease, MaxOrder: maxOrderTime,
+		Config: h.desk.Config, Dial: h.desk.Dial, Table: h.platform.Table, Term: bounds.Lease * termShare / 100, MaxOrder: maxOrderTime,
 		Turn: bounds.Lease, Interval: lookInterval, Quiet: lookInterval,
 		Bounds: order.Options{
 			MaxLoads: loadsAtOnce, LoadShare: loadShare, LoadTimeout: loadTimeout, Settle: settleTime, MaxAge: reportAge,
@@ -305,63 +296,3 @@
 	}
 	return f.Known(after), true
 }
-
-// member is the row of a host.
-type member struct {
-	Address string `json:"address"`
-}
-
-// register writes this host's row and reads those of the others.
-func (h *Host) register(ctx context.Context) error {
-	if h.settings.Peer == "" {
-		<-ctx.Done()
-		return ctx.Err()
-	}
-	for _, address := range h.settings.Seeds {
-		h.peers.Add("seed "+address, address)
-	}
-	written := false
-	for {
-		err := h.exchangeRows(ctx, &written)
-		pause := registerInterval
-		if err != nil {
-			h.meter.Scope().Counter("register_failures").Inc(1)
-			h.logger.Debug("hosts not read", "error", err)
-			pause = registerRetry
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(pause):
-		}
-	}
-}
-
-func (h *Host) exchangeRows(ctx context.Context, written *bool) error {
-	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
-	defer cancel()
-	if !*written {
-		value, err := json.Marshal(member{Address: h.settings.Peer})
-		if err != nil {
-			return err
-		}
-		put := table.Put{Key: hostPrefix + h.settings.Name, Value: value, Always: true}
-		if err := h.platform.Table.Commit(ctx, table.Txn{Puts: []table.Put{put}}); err != nil {
-			return err
-		}
-		*written = true
-	}
-	rows, err := h.platform.Table.List(ctx, hostPrefix, "", maxHosts)
-	if err != nil {
-		return err
-	}
-	for _, row := range rows {
-		var m member
-		if err := json.Unmarshal(row.Value, &m); err != nil {
-			h.logger.Warn("host's row can't be read", "key", row.Key, "error", err)
-			continue
-		}
-		h.peers.Add(row.Key[len(hostPrefix):], m.Address)
-	}
-	return nil
-}
--- a/internal/gate/pick/pick.go
+++ b/internal/gate/pick/pick.go
@@ -8,6 +8,7 @@
 package pick
 
 import (
+	"cmp"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -137,24 +138,32 @@
 	}
 }
 
-// Want takes the newest version of a model's weights, named so long ago as far
-// as the sender knows, and reports whether it is news. Versions only rise.
+// Want takes a version of a model's weights, named so long ago as far as the
+// sender knows, and reports whether it is the newest so far.
 func (s *State) Want(now time.Time, model string, named Named) bool {
 	since := now.Add(-named.Age)
 	w := s.wanted[model]
-	newest := w.newest()
-	switch {
-	case named.Version < newest.version:
-		return false
-	case named.Version == newest.version && newest.version > 0:
-		if last := &w.named[len(w.named)-1]; since.Before(last.since) {
-			last.since = since
+	at, known := slices.BinarySearchFunc(w.named, named.Version, func(n naming, v uint64) int { return cmp.Compare(n.version, v) })
+	if known {
+		if since.Before(w.named[at].since) {
+			w.named[at].since = since
 		}
 		return false
 	}
-	w.named = append(w.named[max(0, len(w.named)-maxNamed):], naming{version: named.Version, since: since})
+	newest := at == len(w.named)
+	w.named = slices.Insert(w.named, at, naming{version: named.Version, since: since})
+	w.named = w.named[max(0, len(w.named)-maxNamed):]
 	s.wanted[model] = w
-	return true
+	return newest
+}
+
+// Namings returns the versions of a model that are remembered, oldest first.
+func (s *State) Namings(now time.Time, model string) []Named {
+	var all []Named
+	for _, n := range s.wanted[model].named {
+		all = append(all, Named{Version: n.version, Age: now.Sub(n.since)})
+	}
+	return all
 }
 
 // SetFloor keeps weights from answering which were replaced so long ago; zero
--- a/internal/node/orders/engines.go
+++ b/internal/node/orders/engines.go
@@ -96,6 +96,7 @@
 	results := make(chan order.Ended, len(commands))
 	for _, command := range commands {
 		if send, ok := command.(order.Send); ok {
+			g.acted = time.Now()
 			go func(ctx context.Context) { results <- g.send(ctx, grant, send) }(ctx)
 		}
 	}
--- a/internal/node/orders/orders.go
+++ b/internal/node/orders/orders.go
@@ -66,6 +66,7 @@
 	orders  order.State
 	fence   uint64
 	looked  time.Time
+	acted   time.Time
 	granted atomic.Pointer[lease.Grant]
 }
 
@@ -115,7 +116,7 @@
 		g.orders = order.New(g.options.Bounds)
 		g.looked = time.Time{}
 		g.options.Scope.Counter("orders_lease_taken").Inc(1)
-		g.options.Logger.Info("took the lease for orders", "fence", grant.Fence)
+		g.options.Logger.Info("took the lease for orders", "fence", grant.Fence, "quietMs", grant.Quiet.Milliseconds())
 	case !held && g.fence != 0:
 		g.fence = 0
 		g.options.Scope.Counter("orders_lease_lost").Inc(1)
@@ -130,7 +131,8 @@
 // first.
 func (g *Giver) wanted() map[string]order.Wanted {
 	config := g.options.Config()
-	taken := g.lease.Grant().Taken
+	grant := g.lease.Grant()
+	taken := grant.Taken
 	models := map[string]site.Model{}
 	for _, model := range config.Models {
 		models[model.Name] = model
@@ -144,7 +146,7 @@
 		}
 		w.NotBefore = taken.Add(g.options.MaxOrder + g.options.Bounds.Settle)
 		if !e.ChecksFence {
-			w.NotBefore = taken.Add(g.turn())
+			w.NotBefore = taken.Add(max(0, g.turn()-grant.Quiet))
 		}
 		engines[e.Name] = w
 	}
@@ -166,7 +168,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), handOverTimeout)
 	defer cancel()
 	held := g.lease.Grant().Fence > 0
-	g.drive(ctx, lease.Leave{})
+	g.drive(ctx, lease.Leave{LastAct: g.acted})
 	if held {
 		g.options.Logger.Info("gave up the lease for orders", "fence", g.fence)
 	}
--- a/internal/safety/lease/lease.go
+++ b/internal/safety/lease/lease.go
@@ -23,6 +23,8 @@
 	Beat uint64 `json:"beat"`
 	// TermMillis is how long a renewal lasts.
 	TermMillis int64 `json:"termMillis"`
+	// QuietMillis is how long before it gave the lease up the last holder acted.
+	QuietMillis int64 `json:"quietMillis,omitempty"`
 }
 
 // Grant is the right to act.
@@ -35,8 +37,14 @@
 	Taken time.Time
 	// Term is its length.
 	Term time.Duration
+	// Quiet is the least time that had passed since an act of an earlier holder
+	// when the lease was taken.
+	Quiet time.Duration
 }
 
+// noHolder is the time since an act of an earlier holder where there was none.
+const noHolder = time.Hour
+
 // Covers reports whether the grant still holds for a time from now on. It must
 // be asked right before each act.
 func (g Grant) Covers(now time.Time, need time.Duration) bool {
@@ -70,6 +78,10 @@
 	// read.
 	seen   uint64
 	seenAt time.Time
+	// quiet is the time since the last act of the holder that is replaced.
+	quiet time.Duration
+	// acted is the last act before the lease was given up.
+	acted time.Time
 	// leaving is true once the lease is given up for good.
 	leaving bool
 }
@@ -93,7 +105,7 @@
 			s.leaving = true
 			return s, nil
 		}
-		s.leaving = true
+		s.leaving, s.acted = true, m.LastAct
 		s.grant = Grant{}
 		return s.read()
 	case Tick:
@@ -131,7 +143,7 @@
 func (s State) look(now time.Time, row Row) (State, []Command) {
 	mine := row.Version > 0 && row.Record.Holder == s.me
 	if s.leaving {
-		return s.release(row, mine)
+		return s.release(now, row, mine)
 	}
 	switch {
 	case mine && s.open && row.Record.Beat == s.beat:
@@ -142,13 +154,17 @@
 	s.grant = Grant{}
 	s.open = false
 	if row.Version == 0 || row.Record.Holder == "" {
+		s.quiet = noHolder
+		if row.Version > 0 {
+			s.quiet = time.Duration(row.Record.QuietMillis) * time.Millisecond
+		}
 		return s.write(now, row.Version, row.Version+1)
 	}
 	return s.watch(now, row)
 }
 
 // release empties the row if it is still this process's.
-func (s State) release(row Row, mine bool) (State, []Command) {
+func (s State) release(now time.Time, row Row, mine bool) (State, []Command) {
 	if !mine {
 		s.phase = idle
 		return s, nil
@@ -156,6 +172,7 @@
 	s.phase = writing
 	record := row.Record
 	record.Holder = ""
+	record.QuietMillis = max(0, min(elapsed(s.acted, now), noHolder)).Milliseconds()
 	return s, []Command{Write{Record: record, IfVersion: row.Version}}
 }
 
@@ -170,6 +187,7 @@
 		s.next = s.seenAt.Add(wait)
 		return s, nil
 	}
+	s.quiet = now.Sub(s.seenAt) - term
 	return s.write(now, row.Version, row.Version+1)
 }
 
@@ -185,11 +203,11 @@
 
 // confirm starts a term, counted from when its write was sent.
 func (s State) confirm(now time.Time) State {
-	taken := s.grant.Taken
+	taken, quiet := s.grant.Taken, s.grant.Quiet
 	if s.grant.Fence != s.trying {
-		taken = now
+		taken, quiet = now, s.quiet
 	}
-	s.grant = Grant{Fence: s.trying, Since: s.sent, Taken: taken, Term: s.term}
+	s.grant = Grant{Fence: s.trying, Since: s.sent, Taken: taken, Term: s.term, Quiet: quiet}
 	s.open = false
 	s.phase = idle
 	s.next = s.sent.Add(s.pause())
--- a/internal/safety/lease/message.go
+++ b/internal/safety/lease/message.go
@@ -1,5 +1,7 @@
 package lease
 
+import "time"
+
 // Message tells a [State] what happened. It is one of [Tick], [Row], [Written],
 // [Unsure], [Down] or [Leave].
 type Message interface{ message() }
@@ -26,7 +28,10 @@
 
 // Leave gives the lease up, so that another process need not wait for its end.
 // It must be sent after the last act under the grant.
-type Leave struct{}
+type Leave struct {
+	// LastAct is when this process last acted under the grant; zero means never.
+	LastAct time.Time
+}
 
 func (Leave) message()   {}
 func (Tick) message()    {}
