--- a/internal/gate/host/drain.go
+++ b/internal/gate/host/drain.go
@@ -10,7 +10,7 @@
 const (
 	// balancerLag is how long the platform's balancer goes on sending after
 	// readiness is off: it asks every second and believes the second miss.
-	balancerLag = 2500 * time.Millisecond
+	balancerLag = 2700 * time.Millisecond
 	// exitMargin is how long before the end of the grace the process ends.
 	exitMargin = 600 * time.Millisecond
 	// closeStep is how often connections are closed that have become idle.
@@ -20,7 +20,11 @@
 )
 
 // state of the stop, apart so that readiness can't come back.
-type stopState struct{ begun atomic.Bool }
+type stopState struct {
+	begun atomic.Bool
+	// late is true once a request might not end before the process does.
+	late atomic.Bool
+}
 
 var _ http.Handler = (*closer)(nil)
 
@@ -35,6 +39,11 @@
 	if c.host.stopping() {
 		w.Header().Set("Connection", "close")
 	}
+	if c.host.stop.late.Load() {
+		w.Header().Set("Retry-After", "0")
+		http.Error(w, "this host stops", http.StatusServiceUnavailable)
+		return
+	}
 	c.next.ServeHTTP(w, r)
 }
 
@@ -45,7 +54,7 @@
 // drain stops the host without cutting off a request: the duty goes first, then
 // readiness, and connections end once the balancer sends no more.
 func (h *Host) drain(ctx context.Context, duty <-chan error) {
-	end := time.Now().Add(h.settings.Bounds.Grace - exitMargin)
+	end := time.Now().Add(h.bounds.Load().Grace - exitMargin)
 	h.stop.begun.Store(true)
 	h.ready.Store(false)
 	h.logger.Info("stopping", "requests", h.relay.Active())
@@ -57,6 +66,7 @@
 	case <-lag.C:
 	case <-time.After(time.Until(end)):
 	}
+	h.stop.late.Store(true)
 	for time.Now().Before(end) {
 		h.doors.Close()
 		if h.relay.Active() == 0 {
--- a/internal/gate/host/host.go
+++ b/internal/gate/host/host.go
@@ -114,6 +114,7 @@
 	plan    atomic.Pointer[plan.Plan]
 	targets atomic.Pointer[map[string]roster.Target]
 	ready   atomic.Bool
+	bounds  atomic.Pointer[Bounds]
 
 	mu     sync.Mutex
 	roster *roster.State
@@ -143,6 +144,7 @@
 		meter: meter.New(time.Second, logger), feeds: map[string]*feed.Feed{},
 	}
 	h.targets.Store(&map[string]roster.Target{})
+	h.bounds.Store(&settings.Bounds)
 	h.pool = pool.New(func(string) { h.meter.Scope().Counter("connections_opened").Inc(1) })
 	h.peers = peers.New(peers.Options{
 		Name: settings.Name, Address: settings.Peer, Compose: h.compose, Hear: h.hear, Rows: h.rows,
@@ -150,7 +152,7 @@
 	})
 	h.desk = desk.New(desk.Options{
 		Engines: platform.Engines, Targets: h.listedTargets, Running: h.running, Wanted: h.wanted,
-		ChecksFence: func() bool { return settings.Bounds.ChecksFence }, Loaded: h.seen, Logger: logger,
+		ChecksFence: func() bool { return h.bounds.Load().ChecksFence }, Loaded: h.seen, Logger: logger,
 	})
 	h.giver = orders.New(h.giverOptions())
 	h.relay = relay.New(relay.Options{
@@ -169,6 +171,13 @@
 	})
 }
 
+// SetBounds puts other bounds in force.
+func (h *Host) SetBounds(bounds Bounds) {
+	h.bounds.Store(&bounds)
+	h.relay.SetBound(bounds.Repeats)
+	h.logger.Info("bounds in force", "bounds", bounds)
+}
+
 // Serve runs the host until the context ends and every request has its answer.
 func (h *Host) Serve(ctx context.Context) error {
 	began := time.Now()
--- a/internal/gate/host/know.go
+++ b/internal/gate/host/know.go
@@ -254,7 +254,7 @@
 	if h.feeds[h.platform.OperatorTable].Lost() {
 		return 0
 	}
-	return h.settings.Bounds.NewWeights - newWeightsMargin
+	return h.bounds.Load().NewWeights - newWeightsMargin
 }
 
 // compose returns what the peers should know.
--- a/internal/gate/relay/relay.go
+++ b/internal/gate/relay/relay.go
@@ -105,6 +105,16 @@
 // Idle returns a channel that gets a value when the last request has ended.
 func (h *Handler) Idle() <-chan struct{} { return h.idle }
 
+// SetBound puts another bound of second sendings in force.
+func (h *Handler) SetBound(bound quota.Bound) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if bound != h.options.Bound {
+		h.options.Bound = bound
+		clear(h.quotas)
+	}
+}
+
 func (h *Handler) begin() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
