--- a/internal/gate/pick/choose.go
+++ b/internal/gate/pick/choose.go
@@ -21,7 +21,7 @@
 	// request is worth.
 	rereadCost = 0.25
 	// fetchCost is the cost of copying 1,000 tokens between engines.
-	fetchCost = 0.0012
+	fetchCost = 0.015
 	// zoneCost is the cost of 10 kB between data centres.
 	zoneCost = 0.006
 	// waitCost spreads work among targets that are all in time: it is the cost
@@ -262,7 +262,7 @@
 	}
 	return option{t: t, version: version, parts: parts, cost: cost, go_: Go{
 		Target: t.Target, Version: version, Scope: scopeOf(version, r.Scope), FetchFrom: from, SaveTo: s.saveTo(shared, cached, fetched),
-		Cached: cached, Fetched: fetched, Expected: expected, Load: count, Age: age,
+		Shared: sum(shared), Cached: cached, Fetched: fetched, Expected: expected, Load: count, Age: age,
 	}}
 }
 
--- a/internal/gate/pick/message.go
+++ b/internal/gate/pick/message.go
@@ -42,6 +42,8 @@
 	FetchFrom string
 	// SaveTo is the address of a store to copy the parts to; empty for none.
 	SaveTo string
+	// Shared is the number of prompt tokens that other requests may share.
+	Shared int
 	// Cached is the number of prompt tokens believed to be cached there.
 	Cached int
 	// Fetched is the number of prompt tokens believed to be at FetchFrom.
--- a/internal/gate/pick/pick.go
+++ b/internal/gate/pick/pick.go
@@ -107,7 +107,7 @@
 	for _, t := range s.targets {
 		t.engines = p.Services[t.Service].Engines
 		if t.engines != nil {
-			t.cache.capacity = t.engines.CacheTokens
+			t.cache.capacity = t.engines.CacheTokens * 75 / 100
 		}
 	}
 }
--- a/internal/gate/relay/answer.go
+++ b/internal/gate/relay/answer.go
@@ -157,6 +157,7 @@
 
 func (h *Handler) firstEvent(s *sending) {
 	now := time.Now()
+	s.first = now.Sub(s.began)
 	h.options.Lock.Lock()
 	h.options.Picks.First(now, s.run)
 	h.options.Lock.Unlock()
--- a/internal/gate/relay/attempt.go
+++ b/internal/gate/relay/attempt.go
@@ -146,6 +146,8 @@
 	once   *guard.Once
 	began  time.Time
 	cancel context.CancelFunc
+	// first is how long the first event took; zero before it.
+	first  time.Duration
 	end    pick.End
 }
 
--- a/internal/gate/relay/lines.go
+++ b/internal/gate/relay/lines.go
@@ -20,10 +20,10 @@
 	}
 	g := s.chosen
 	h.options.Logger.Info("sent", "request", s.job.call.ID, "route", s.job.route.Name, "workspace", s.job.workspace.Name,
-		"target", g.Target.ID, "weights", g.Version, "cached", g.Cached, "fetched", g.Fetched, "from", g.FetchFrom,
+		"target", g.Target.ID, "weights", g.Version, "shared", g.Shared, "cached", g.Cached, "fetched", g.Fetched, "from", g.FetchFrom,
 		"running", g.Load.Running, "prefill", g.Load.Prefill, "ageMs", g.Age.Milliseconds(), "expectedMs", g.Expected.Milliseconds(),
 		"config", s.job.plan.Version, "sending", s.job.sent, "lastEvent", s.job.stream.last,
-		"tookMs", time.Since(s.began).Milliseconds(), "outcome", outcome, "reason", reason)
+		"firstMs", s.first.Milliseconds(), "tookMs", time.Since(s.began).Milliseconds(), "outcome", outcome, "reason", reason)
 }
 
 // logRefusal writes the line of a request that this node itself ended.
