Follow cache events and save what shared parts deserve

Cause: beliefs about caches were a model of eviction; the store filled with prompts' own parts. Each cache is now followed by one host, which tells the others of shared parts; a prompt is saved when its own part is no longer than the shared ones. Few hosts compete for the lease, feeds wait longer.

--- a/internal/gate/feed/feed.go
+++ b/internal/gate/feed/feed.go
@@ -63,10 +63,10 @@
 }
 
 const (
-	// watchWait is how long a call waits for changes. It bounds how long a
-	// connection that went silent goes unnoticed, and stays below the time
-	// within which a configuration must be in force.
-	watchWait = 1500 * time.Millisecond
+	// watchWait is how long a call waits for changes, and with answerTime how long
+	// a connection that went silent goes unnoticed: less than a node may take to
+	// be in touch again and to put a configuration in force, five seconds.
+	watchWait = 3500 * time.Millisecond
 	// answerTime is how long a call may take beside its wait.
 	answerTime = 700 * time.Millisecond
 	// gatherTime is the pause after changes, so that those which come together
--- a/internal/gate/host/host.go
+++ b/internal/gate/host/host.go
@@ -16,6 +16,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/cicadamill/cicadamill/internal/config/local"
+	"github.com/cicadamill/cicadamill/internal/gate/caches"
 	"github.com/cicadamill/cicadamill/internal/gate/call"
 	"github.com/cicadamill/cicadamill/internal/gate/desk"
 	"github.com/cicadamill/cicadamill/internal/gate/doors"
@@ -93,6 +94,8 @@
 	Table table.Client
 	// Engines speaks to engines.
 	Engines desk.Engines
+	// Caches reads what engines and stores tell of their caches.
+	Caches caches.Client
 	// OwnTable is the name of that table for Source.
 	OwnTable string
 	// OperatorTable is where operators write, TargetTable is the list of targets.
@@ -197,6 +200,10 @@
 	supervisor.Add(&service{run: h.keep})
 	supervisor.Add(&service{run: h.register})
 	supervisor.Add(&service{run: h.keepNamings})
+	supervisor.Add(caches.New(caches.Options{
+		Name: h.settings.Name, Client: h.platform.Caches, Sources: h.cacheSources, Learn: h.learn, Forget: h.forget,
+		Nodes: func() []string { return h.peers.Up(time.Now()) }, Scope: h.meter.Scope(), Logger: h.logger,
+	}))
 	for name, listener := range h.sideListeners() {
 		supervisor.Add(&service{run: func(ctx context.Context) error { return h.serveSide(ctx, name, listener) }})
 	}
--- a/internal/gate/host/know.go
+++ b/internal/gate/host/know.go
@@ -7,6 +7,7 @@
 	"github.com/zeebo/xxh3"
 
 	"github.com/cicadamill/cicadamill/internal/config/local"
+	"github.com/cicadamill/cicadamill/internal/gate/caches"
 	"github.com/cicadamill/cicadamill/internal/gate/feed"
 	"github.com/cicadamill/cicadamill/internal/gate/peers"
 	"github.com/cicadamill/cicadamill/internal/gate/pick"
@@ -28,6 +29,8 @@
 	// between two holders' orders: a shorter term is renewed more often, a longer
 	// one leaves engines without orders for longer.
 	termShare = 66
+	// candidates is how many hosts compete for the lease: two may be lost at once.
+	candidates = 3
 	// maxOrderTime bounds one order on its way.
 	maxOrderTime = 700 * time.Millisecond
 	// emptyTime is how long an engine may finish its work before new weights are
@@ -51,7 +54,7 @@
 	bounds := h.settings.Bounds
 	return orders.Options{
 		Config: h.desk.Config, Dial: h.desk.Dial, Table: h.platform.Table, Term: bounds.Lease * termShare / 100, MaxOrder: maxOrderTime,
-		Turn: bounds.Lease, Interval: lookInterval, Quiet: lookInterval,
+		Turn: bounds.Lease, Stand: h.stands, Interval: lookInterval, Quiet: lookInterval,
 		Bounds: order.Options{
 			MaxLoads: loadsAtOnce, LoadShare: loadShare, LoadTimeout: loadTimeout, Settle: settleTime, MaxAge: reportAge,
 			Patience: emptyTime, KeepTrying: true,
@@ -60,6 +63,22 @@
 	}
 }
 
+// stands reports whether this host competes for the lease for orders: a few do,
+// so that not all of many hosts read its row.
+func (h *Host) stands() bool {
+	if h.stopping() {
+		return false
+	}
+	up := h.peers.Up(time.Now())
+	before := 0
+	for _, name := range up {
+		if name < h.settings.Name {
+			before++
+		}
+	}
+	return before < candidates
+}
+
 // operatorRows takes rows that operators have written.
 func (h *Host) operatorRows(page feed.Page) {
 	for _, row := range page.Rows {
@@ -257,6 +276,36 @@
 	return h.bounds.Load().NewWeights - newWeightsMargin
 }
 
+// cacheSources lists the engines and stores that tell of their caches.
+func (h *Host) cacheSources() []caches.Source {
+	p := h.plan.Load()
+	if p == nil {
+		return nil
+	}
+	var sources []caches.Source
+	for id, t := range h.listedTargets() {
+		if p.Services[t.Service].Engines != nil {
+			sources = append(sources, caches.Source{Name: id, Address: t.Address, Instance: id})
+		}
+	}
+	for _, s := range p.Stores {
+		sources = append(sources, caches.Source{Name: s.Name, Address: s.Address})
+	}
+	return sources
+}
+
+func (h *Host) learn(name string, parts []pick.Cached) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.picks.Learn(name, parts)
+}
+
+func (h *Host) forget(name string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.picks.Forget(name)
+}
+
 // compose returns what the peers should know.
 func (h *Host) compose() peers.Message {
 	now := time.Now()
--- a/internal/gate/pick/belief.go
+++ b/internal/gate/pick/belief.go
@@ -8,40 +8,81 @@
 // belief is what is believed to be in one cache, which yields what was used
 // least recently.
 type belief struct {
-	parts    *simplelru.LRU[uint64, int]
-	held     int
+	parts    *simplelru.LRU[uint64, held]
+	tokens   int
 	capacity int
 }
 
+// held is one part in a cache.
+type held struct {
+	// tokens is how much of the part is there.
+	tokens int
+	// sure is true once the part has been read there, so that it can be copied.
+	sure bool
+}
+
 func newBelief(capacity int) *belief {
 	b := &belief{capacity: capacity}
-	b.parts, _ = simplelru.NewLRU(maxParts, func(_ uint64, tokens int) { b.held -= tokens })
+	b.parts, _ = simplelru.NewLRU(maxParts, func(_ uint64, h held) { b.tokens -= h.tokens })
 	return b
 }
 
-// touch notes that a part is in the cache and was used last, and drops what no
-// longer fits.
+// touch notes that a part comes into the cache and was used last, and drops what
+// no longer fits.
 func (b *belief) touch(part uint64, tokens int) {
-	if old, ok := b.parts.Get(part); ok {
-		b.held -= old
+	old, _ := b.parts.Get(part)
+	b.set(part, held{tokens: max(tokens, old.tokens), sure: old.sure && old.tokens >= tokens})
+}
+
+// learn takes a cache's own word on how much of a part it holds.
+func (b *belief) learn(part uint64, tokens int) {
+	if tokens == 0 {
+		b.parts.Remove(part)
+		return
+	}
+	b.set(part, held{tokens: tokens, sure: true})
+}
+
+func (b *belief) set(part uint64, h held) {
+	if old, ok := b.parts.Peek(part); ok {
+		b.tokens -= old.tokens
 	}
-	b.parts.Add(part, tokens)
-	b.held += tokens
-	for b.held > b.capacity {
+	b.parts.Add(part, h)
+	b.tokens += h.tokens
+	for b.tokens > b.capacity {
 		if _, _, ok := b.parts.RemoveOldest(); !ok {
 			return
 		}
 	}
 }
 
-// depth returns the tokens of the first parts that the cache holds.
-func (b *belief) depth(parts []part) int {
-	tokens := 0
+// confirm notes that parts have been read.
+func (b *belief) confirm(parts []part) {
 	for _, p := range parts {
-		if !b.parts.Contains(p.key) {
-			break
+		if h, ok := b.parts.Peek(p.key); ok && !h.sure {
+			b.learn(p.key, h.tokens)
+		}
+	}
+}
+
+// depth returns the tokens of the first parts that the cache holds; those that
+// are sure to be there are counted apart.
+func (b *belief) depth(parts []part) (all, sure int) {
+	open := true
+	for _, p := range parts {
+		h, ok := b.parts.Peek(p.key)
+		if !ok {
+			return all, sure
+		}
+		tokens := min(h.tokens, p.tokens)
+		all += tokens
+		open = open && h.sure
+		if open {
+			sure += tokens
+		}
+		if tokens < p.tokens {
+			return all, sure
 		}
-		tokens += p.tokens
 	}
-	return tokens
+	return all, sure
 }
--- a/internal/gate/pick/choose.go
+++ b/internal/gate/pick/choose.go
@@ -43,6 +43,9 @@
 	fetchSetup = 4 * time.Millisecond
 	// minFetch is the number of tokens from which on a copy saves time.
 	minFetch = 64
+	// saveOwnShare is how many times longer than its shared parts a prompt's own
+	// part may be for the prompt to be saved.
+	saveOwnShare = 1
 	// plainQueue is how many requests wait at a plain target for each slot
 	// before it refuses more.
 	plainQueue = 2
@@ -234,7 +237,7 @@
 	v := s.speed(r.Service)
 	count, age := t.work(now)
 	shared := parts[:len(r.Prompt.Shared())]
-	cached := t.cache.depth(parts)
+	cached, _ := t.cache.depth(parts)
 	fetched, from, sameZone := 0, "", true
 	if sharedTokens := sum(shared); cached < sharedTokens {
 		fetched, from, sameZone = s.donor(now, t, r.Prompt.Model, version, shared, min(cached, sharedTokens))
@@ -261,7 +264,7 @@
 		cost += zoneCost * float64(2*r.Prompt.Tokens+tokenText*r.Prompt.MaxOutput) / 10_000
 	}
 	return option{t: t, version: version, parts: parts, cost: cost, go_: Go{
-		Target: t.Target, Version: version, Scope: scopeOf(version, r.Scope), FetchFrom: from, SaveTo: s.saveTo(shared, cached, fetched),
+		Target: t.Target, Version: version, Scope: scopeOf(version, r.Scope), FetchFrom: from, SaveTo: s.saveTo(parts, shared, cached, fetched),
 		Shared: sum(shared), Cached: cached, Fetched: fetched, Expected: expected, Load: count, Age: age,
 	}}
 }
@@ -274,13 +277,14 @@
 		if d == t || d.Versions[model] != version || now.Before(d.suspect) {
 			continue
 		}
-		tokens, same := d.cache.depth(shared), d.DataCentre == t.DataCentre
+		_, tokens := d.cache.depth(shared)
+		same := d.DataCentre == t.DataCentre
 		if tokens > best || tokens == best && from != "" && same && !near {
 			best, from, near = tokens, d.Address, same
 		}
 	}
 	for _, st := range s.stores {
-		if tokens := st.cache.depth(shared); tokens > best {
+		if _, tokens := st.cache.depth(shared); tokens > best {
 			best, from, near = tokens, st.Address, st.DataCentre == t.DataCentre
 		}
 	}
@@ -307,18 +311,26 @@
 	best := 0
 	for _, t := range s.targets {
 		if t.engines != nil {
-			best = max(best, t.cache.depth(shared))
+			tokens, _ := t.cache.depth(shared)
+			best = max(best, tokens)
 		}
 	}
 	return best
 }
 
-// saveTo names a store for parts that nobody holds yet.
-func (s *State) saveTo(shared []part, cached, fetched int) string {
-	if len(s.stores) == 0 || cached+fetched >= sum(shared) {
+// saveTo names a store for shared parts that it lacks and that the engine reads
+// now. The whole prompt goes there: one with a long part of its own would push
+// out more than it brings.
+func (s *State) saveTo(parts, shared []part, cached, fetched int) string {
+	total := sum(shared)
+	if len(s.stores) == 0 || cached+fetched >= total || sum(parts)-total > total*saveOwnShare {
 		return ""
 	}
-	return s.stores[0].Address
+	st := s.stores[0]
+	if _, kept := st.cache.depth(shared); kept >= total {
+		return ""
+	}
+	return st.Address
 }
 
 func sum(parts []part) int {
--- a/internal/gate/pick/message.go
+++ b/internal/gate/pick/message.go
@@ -90,7 +90,7 @@
 
 // Placed tells that a part of a prompt is on its way into a target's cache.
 type Placed struct {
-	// Part is the hash of the part and all before it, with their scope.
+	// Part is the hash of the part with its model and scope.
 	Part uint64 `json:"part"`
 	// Tokens is the part's length.
 	Tokens int `json:"tokens"`
@@ -98,12 +98,25 @@
 	Target string `json:"target"`
 }
 
+// Cached is a cache's own word on one part.
+type Cached struct {
+	// Model and Scope are what the part was read for.
+	Model, Scope string
+	// ID is the part's name.
+	ID string
+	// Tokens is how much of it is there now.
+	Tokens int
+}
+
 // Report is what one node tells the others of its work.
 type Report struct {
 	// Work is the node's work by target.
 	Work map[string]Count `json:"work,omitempty"`
 	// Placed are the parts placed since the last report.
 	Placed []Placed `json:"placed,omitempty"`
+	// Cached are the parts that caches told to hold since the last report, zero
+	// tokens for those that they have dropped.
+	Cached []Placed `json:"cached,omitempty"`
 	// Versions are the versions that targets were seen to answer with.
 	Versions map[string]Seen `json:"versions,omitempty"`
 	// Suspects are the targets that this node gives no new work for failures.
--- a/internal/gate/pick/pick.go
+++ b/internal/gate/pick/pick.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/zeebo/xxh3"
 
 	"github.com/cicadamill/cicadamill/internal/gate/call"
@@ -26,7 +27,7 @@
 const maxNamed = 16
 
 // maxPlaced bounds what waits for the next report.
-const maxPlaced = 512
+const maxPlaced = 2048
 
 // Options describe the node that decides.
 type Options struct {
@@ -46,7 +47,10 @@
 	wanted   map[string]wanted
 	stores   []*store
 	placed   []Placed
-	speeds   map[string]*speed
+	cached   []Placed
+	// shared are parts that are known to be shared: others need not be told of.
+	shared *simplelru.LRU[uint64, struct{}]
+	speeds map[string]*speed
 }
 
 // wanted is what was named of a model's weights.
@@ -80,7 +84,7 @@
 	return time.Time{}, false
 }
 
-// part is a shared part with the hash of itself and all before it.
+// part is a part of a prompt by the hash of its model, scope and ID.
 type part struct {
 	key    uint64
 	tokens int
@@ -93,7 +97,9 @@
 //	state.SetTargets(roster.Targets())
 //	verdict := state.Choose(now, request)
 func New(options Options) *State {
+	shared, _ := simplelru.NewLRU[uint64, struct{}](maxParts, nil)
 	return &State{
+		shared:  shared,
 		options: options, random: rand.New(rand.NewPCG(options.Seed, options.Seed)),
 		targets: map[string]*target{}, services: map[string][]*target{},
 		wanted: map[string]wanted{}, speeds: map[string]*speed{},
@@ -107,7 +113,7 @@
 	for _, t := range s.targets {
 		t.engines = p.Services[t.Service].Engines
 		if t.engines != nil {
-			t.cache.capacity = t.engines.CacheTokens * 75 / 100
+			t.cache.capacity = t.engines.CacheTokens
 		}
 	}
 }
@@ -244,13 +250,17 @@
 	return text
 }
 
-// chain hashes parts with all that comes before them.
+// keyOf identifies a part in a cache.
+func keyOf(model, scope, id string) uint64 {
+	return xxh3.HashStringSeed(id, xxh3.HashString(model+"\x00"+scope))
+}
+
+// chain returns the keys of a prompt's parts.
 func chain(model, scope string, parts []call.Part) []part {
 	hashed := make([]part, 0, len(parts))
-	sum := xxh3.HashString(model + "\x00" + scope)
+	seed := xxh3.HashString(model + "\x00" + scope)
 	for _, p := range parts {
-		sum = xxh3.HashStringSeed(p.ID, sum)
-		hashed = append(hashed, part{key: sum, tokens: p.Tokens})
+		hashed = append(hashed, part{key: xxh3.HashStringSeed(p.ID, seed), tokens: p.Tokens})
 	}
 	return hashed
 }
--- a/internal/gate/pick/run.go
+++ b/internal/gate/pick/run.go
@@ -12,12 +12,12 @@
 	// Began is when it was sent.
 	Began time.Time
 
-	work   Count
-	ahead  int
-	first  bool
-	model  bool
-	tokens int
-	of     *target
+	work  Count
+	ahead int
+	first bool
+	model bool
+	parts []part
+	of    *target
 }
 
 // Start notes that a request is sent as [State.Choose] said.
@@ -33,30 +33,36 @@
 		miss := max(r.Prompt.Tokens-g.Cached-g.Fetched, 0)
 		run.work.Prefill, run.work.Memory = miss, r.Prompt.Tokens+r.Prompt.MaxOutput
 		run.ahead = g.Load.Prefill + miss
-		s.place(t, r, g)
+		run.parts = s.place(t, r, g)
 	}
 	t.own = t.own.plus(run.work)
 	return run
 }
 
 // place notes where the parts of a prompt come to lie and tells the others.
-func (s *State) place(t *target, r Request, g Go) {
+func (s *State) place(t *target, r Request, g Go) []part {
 	parts := chain(r.Prompt.Model, g.Scope, r.Prompt.Parts)
 	shared := len(r.Prompt.Shared())
 	for i := len(parts) - 1; i >= 0; i-- {
 		p := parts[i]
 		t.cache.touch(p.key, p.tokens)
-		s.tell(Placed{Part: p.key, Tokens: p.tokens, Target: t.ID})
-		if g.SaveTo == "" || i >= shared {
+		if i < shared {
+			s.shared.Add(p.key, struct{}{})
+			s.tell(Placed{Part: p.key, Tokens: p.tokens, Target: t.ID})
+		}
+		if g.SaveTo == "" {
 			continue
 		}
 		for _, st := range s.stores {
 			if st.Address == g.SaveTo {
 				st.cache.touch(p.key, p.tokens)
-				s.tell(Placed{Part: p.key, Tokens: p.tokens, Target: st.Name})
+				if i < shared {
+					s.tell(Placed{Part: p.key, Tokens: p.tokens, Target: st.Name})
+				}
 			}
 		}
 	}
+	return parts
 }
 
 func (s *State) tell(p Placed) {
@@ -74,6 +80,7 @@
 	run.of.own.Prefill -= run.work.Prefill
 	if run.model {
 		s.speed(run.of.Service).learn(run.ahead, now.Sub(run.Began))
+		run.of.cache.confirm(run.parts)
 	}
 	run.of.answered()
 }
@@ -127,17 +134,45 @@
 	}
 }
 
-// Forget drops what is believed of a target's cache.
-func (s *State) Forget(id string) {
-	if t, ok := s.targets[id]; ok {
-		t.forget()
+// Forget drops what is believed of a target's or a store's cache.
+func (s *State) Forget(name string) {
+	if cache := s.cacheOf(name); cache != nil {
+		cache.parts.Purge()
+	}
+}
+
+// cacheOf returns what is believed of a target's or a store's cache.
+func (s *State) cacheOf(name string) *belief {
+	if t, ok := s.targets[name]; ok {
+		return t.cache
+	}
+	for _, st := range s.stores {
+		if st.Name == name {
+			return st.cache
+		}
+	}
+	return nil
+}
+
+// Learn takes a cache's own word on parts that it holds, has taken in or dropped.
+func (s *State) Learn(name string, events []Cached) {
+	cache := s.cacheOf(name)
+	if cache == nil {
+		return
+	}
+	for _, e := range events {
+		key := keyOf(e.Model, e.Scope, e.ID)
+		cache.learn(key, e.Tokens)
+		if s.shared.Contains(key) && len(s.cached) < maxPlaced {
+			s.cached = append(s.cached, Placed{Part: key, Tokens: e.Tokens, Target: name})
+		}
 	}
 }
 
 // Report returns what the other nodes should know, and begins the next report.
 func (s *State) Report(now time.Time) Report {
-	r := Report{Work: map[string]Count{}, Placed: s.placed, Versions: s.Versions()}
-	s.placed = nil
+	r := Report{Work: map[string]Count{}, Placed: s.placed, Cached: s.cached, Versions: s.Versions()}
+	s.placed, s.cached = nil, nil
 	for id, t := range s.targets {
 		if t.own != (Count{}) {
 			r.Work[id] = t.own
@@ -159,14 +194,14 @@
 		}
 	}
 	for _, p := range r.Placed {
-		if t, ok := s.targets[p.Target]; ok {
-			t.cache.touch(p.Part, p.Tokens)
-			continue
+		s.shared.Add(p.Part, struct{}{})
+		if cache := s.cacheOf(p.Target); cache != nil {
+			cache.touch(p.Part, p.Tokens)
 		}
-		for _, st := range s.stores {
-			if st.Name == p.Target {
-				st.cache.touch(p.Part, p.Tokens)
-			}
+	}
+	for _, p := range r.Cached {
+		if cache := s.cacheOf(p.Target); cache != nil {
+			cache.learn(p.Part, p.Tokens)
 		}
 	}
 	for id, seen := range maps.All(r.Versions) {
--- a/internal/gate/pick/target.go
+++ b/internal/gate/pick/target.go
@@ -53,7 +53,7 @@
 func (t *target) forget() {
 	capacity := 0
 	if t.engines != nil {
-		capacity = t.engines.CacheTokens * 75 / 100
+		capacity = t.engines.CacheTokens
 	}
 	t.cache = newBelief(capacity)
 }
--- a/internal/gate/relay/attempt.go
+++ b/internal/gate/relay/attempt.go
@@ -147,8 +147,8 @@
 	began  time.Time
 	cancel context.CancelFunc
 	// first is how long the first event took; zero before it.
-	first  time.Duration
-	end    pick.End
+	first time.Duration
+	end   pick.End
 }
 
 // send passes a request to a target and its answer to the client.
--- a/internal/node/orders/orders.go
+++ b/internal/node/orders/orders.go
@@ -41,6 +41,9 @@
 	// Turn is the time between the orders of two holders to engines that don't
 	// check fencing numbers; zero means the term and the longest order.
 	Turn time.Duration
+	// Stand tells whether this node competes for the lease; nil means that it
+	// always does. A holder keeps it either way.
+	Stand func() bool
 	// Interval is the time between two looks at the engines.
 	Interval time.Duration
 	// Quiet is the time between two looks while every engine serves what is wanted.
@@ -91,7 +94,9 @@
 			return ctx.Err()
 		case <-ticker.C:
 		}
-		g.keepLease(ctx)
+		if g.lease.Grant().Fence > 0 || g.options.Stand == nil || g.options.Stand() {
+			g.keepLease(ctx)
+		}
 		if g.holds() {
 			g.look(ctx)
 			g.order(ctx)
