--- a/internal/gate/host/know.go
+++ b/internal/gate/host/know.go
@@ -53,7 +53,7 @@
 func (h *Host) giverOptions() orders.Options {
 	bounds := h.settings.Bounds
 	return orders.Options{
-		Config: h.desk.Config, Dial: h.desk.Dial, Table: h.platform.Table, Term: bounds.Lease * termShare / 100, MaxOrder: maxOrderTime,
+		Host: h.settings.Name, Config: h.desk.Config, Dial: h.desk.Dial, Table: h.platform.Table, Term: bounds.Lease * termShare / 100, MaxOrder: maxOrderTime,
 		Turn: bounds.Lease, Stand: h.stands, Interval: lookInterval, Quiet: lookInterval,
 		Bounds: order.Options{
 			MaxLoads: loadsAtOnce, LoadShare: loadShare, LoadTimeout: loadTimeout, Settle: settleTime, MaxAge: reportAge,
--- a/internal/gate/pick/choose.go
+++ b/internal/gate/pick/choose.go
@@ -27,6 +27,8 @@
 	// waitCost spreads work among targets that are all in time: it is the cost
 	// of taking the whole objective.
 	waitCost = 0.1
+	// crowdCost puts targets last that can't take more in time.
+	crowdCost = 10.0
 	// strayCost keeps nodes that don't know of each other's choice yet from
 	// reading a new part on several engines.
 	strayCost = 0.08
@@ -36,6 +38,10 @@
 	// oldGrace is how long after a version was named answers on the one before
 	// cost nothing.
 	oldGrace = 1200 * time.Millisecond
+	// crowdShare is the part of the objective that the work ahead of a request may
+	// take: the rest is for its own prompt. Work beyond it makes all that follows
+	// late, the short and urgent requests too.
+	crowdShare = 0.5
 	// memoryShare is the part of an engine's memory that running requests may
 	// fill before the engine has to preempt some.
 	memoryShare = 0.9
@@ -62,6 +68,10 @@
 	parts   []part
 	go_     Go
 	cost    float64
+	// crowded is true when the work ahead would make this and others late.
+	crowded bool
+	// wait is how long the work ahead takes.
+	wait time.Duration
 }
 
 // Choose decides about a request. It changes nothing; [State.Start] does.
@@ -92,6 +102,9 @@
 	} else {
 		best = s.bestPlain(now, open, r)
 	}
+	if best.crowded {
+		return Wait{Reason: "the work ahead would take too long", After: best.wait}
+	}
 	if best.go_.Expected > r.Left {
 		return Refuse{Reason: "the answer would come too late", RetryAfter: max(best.go_.Expected/2, minRetryAfter)}
 	}
@@ -197,6 +210,9 @@
 		if owner, ok := owners[version]; ok && owner != t && o.go_.Cached+o.go_.Fetched == 0 {
 			o.cost += strayCost
 		}
+		if o.crowded {
+			o.cost += crowdCost
+		}
 		if s.better(o.cost, best.cost) {
 			best = o
 		}
@@ -244,16 +260,19 @@
 	}
 	miss := max(r.Prompt.Tokens-cached-fetched, 0)
 	fetchTime := s.fetchTime(t, fetched, sameZone)
-	expected := v.first + fetchTime + v.token*time.Duration(count.Prefill+miss)
+	wait := v.token * time.Duration(count.Prefill)
+	expected := v.first + fetchTime + wait + v.token*time.Duration(miss)
+	crowded := wait > time.Duration(crowdShare*float64(r.Aim))
 	slots := max(t.Slots, 1)
 	cost := s.common(now, t, r, expected) + waitCost*float64(count.Running)/float64(slots)
 	if count.Running >= slots {
-		cost += lateCost
+		crowded = true
 	}
 	if t.engines != nil {
 		need := count.Memory + r.Prompt.Tokens + r.Prompt.MaxOutput
 		if over := float64(need)/float64(max(t.engines.CacheTokens, 1)) - memoryShare; over > 0 {
 			cost += lateCost
+			crowded = crowded || count.Running > 0
 		}
 	}
 	cost += float64(fetched) / 1000 * fetchCost
@@ -263,7 +282,7 @@
 	if t.DataCentre != s.options.DataCentre {
 		cost += zoneCost * float64(2*r.Prompt.Tokens+tokenText*r.Prompt.MaxOutput) / 10_000
 	}
-	return option{t: t, version: version, parts: parts, cost: cost, go_: Go{
+	return option{t: t, version: version, parts: parts, cost: cost, crowded: crowded, wait: wait, go_: Go{
 		Target: t.Target, Version: version, Scope: scopeOf(version, r.Scope), FetchFrom: from, SaveTo: s.saveTo(parts, shared, cached, fetched),
 		Shared: sum(shared), Cached: cached, Fetched: fetched, Expected: expected, Load: count, Age: age,
 	}}
--- a/internal/gate/pick/message.go
+++ b/internal/gate/pick/message.go
@@ -22,6 +22,8 @@
 	Excluded []string
 	// Objective is the time that is left until the answer is late.
 	Objective time.Duration
+	// Aim is the whole time within which an answer is in time.
+	Aim time.Duration
 	// Left is the time that is left until the client gives up.
 	Left time.Duration
 }
@@ -60,6 +62,8 @@
 type Wait struct {
 	// Reason is a short text for logs.
 	Reason string
+	// After is when a target is expected to be free; zero if not known.
+	After time.Duration
 }
 
 // Refuse means that the request can't be answered in time.
--- a/internal/gate/relay/attempt.go
+++ b/internal/gate/relay/attempt.go
@@ -20,6 +20,10 @@
 const (
 	// maxSendings bounds how often one request is sent, refusals included.
 	maxSendings = 5
+	// crowdWait is the part of the objective for which a request waits while all
+	// targets have too much to do: long enough for a run to end, short enough for
+	// the client to be told at once.
+	crowdWait = 8
 	// waitStep is how often a waiting request looks for a target again.
 	waitStep = 15 * time.Millisecond
 	// answerMargin is what the way back of an answer takes.
@@ -114,7 +118,7 @@
 // still be answered in time.
 func (h *Handler) choose(ctx context.Context, j *job) (pick.Go, error) {
 	began := time.Now()
-	patience := min(max(j.route.Objective, waitStep), time.Until(j.deadline)/2)
+	patience := min(j.route.Objective, time.Until(j.deadline)/2)
 	for {
 		now := time.Now()
 		h.options.Lock.Lock()
@@ -126,7 +130,10 @@
 		case pick.Refuse:
 			return pick.Go{}, refusal("busy", http.StatusServiceUnavailable, v.Reason, min(v.RetryAfter, h.pause(j)))
 		case pick.Wait:
-			if now.Sub(began) > patience {
+			if v.After > 0 {
+				patience = min(patience, j.route.Objective/crowdWait)
+			}
+			if now.Sub(began) >= patience {
 				return pick.Go{}, refusal("busy", http.StatusServiceUnavailable, v.Reason, h.pause(j))
 			}
 		}
--- a/internal/gate/relay/relay.go
+++ b/internal/gate/relay/relay.go
@@ -154,7 +154,7 @@
 func (j *job) request(now time.Time) pick.Request {
 	r := pick.Request{
 		Service: j.service.Name, Prompt: j.call.Prompt, Idempotent: j.route.Idempotent(), Excluded: j.excluded,
-		Objective: j.arrived.Add(j.route.Objective).Sub(now), Left: j.deadline.Sub(now),
+		Aim: j.route.Objective, Objective: j.arrived.Add(j.route.Objective).Sub(now), Left: j.deadline.Sub(now),
 	}
 	if j.workspace.Isolated {
 		r.Scope = j.workspace.Name
--- a/internal/node/orders/orders.go
+++ b/internal/node/orders/orders.go
@@ -34,6 +34,9 @@
 	Dial func(name string) (engine.Client, bool)
 	// Table holds the lease.
 	Table table.Client
+	// Host is this node's host if no other process of the node can run there;
+	// empty if that is not known.
+	Host string
 	// Term is the length of the lease.
 	Term time.Duration
 	// MaxOrder is the longest time that an order may be under way.
@@ -84,6 +87,9 @@
 // lease, also after a panic.
 func (g *Giver) Serve(ctx context.Context) error {
 	g.lease = lease.New(rand.Text(), g.options.Term)
+	if g.options.Host != "" {
+		g.lease = lease.NewOn(g.options.Host, rand.Text(), g.options.Term)
+	}
 	g.fence = 0
 	ticker := time.NewTicker(g.options.Interval)
 	defer ticker.Stop()
--- a/internal/safety/lease/lease.go
+++ b/internal/safety/lease/lease.go
@@ -8,7 +8,10 @@
 // it rises with each holder and stays through its renewals.
 package lease
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // marginShare is the part of a term by which clocks may drift apart in it.
 const marginShare = 10
@@ -61,6 +64,8 @@
 
 // State is one process's view of the lease. It is comparable.
 type State struct {
+	// host and me name the process: its host, and this start of it.
+	host string
 	me   string
 	term time.Duration
 
@@ -93,6 +98,12 @@
 //	state, commands := state.Update(now, lease.Tick{})
 func New(me string, term time.Duration) State { return State{me: me, term: term} }
 
+// NewOn returns the state of a process that runs alone on a host. A row that an
+// earlier start on the host has left is taken over at once: that process is gone.
+func NewOn(host, start string, term time.Duration) State {
+	return State{host: host + "/", me: host + "/" + start, term: term}
+}
+
 // Grant returns the right to act; whether it still holds is for
 // [Grant.Covers] to say.
 func (s State) Grant() Grant { return s.grant }
@@ -160,6 +171,10 @@
 		}
 		return s.write(now, row.Version, row.Version+1)
 	}
+	if s.host != "" && strings.HasPrefix(row.Record.Holder, s.host) {
+		s.quiet = noHolder
+		return s.write(now, row.Version, row.Version+1)
+	}
 	return s.watch(now, row)
 }
 
