--- a/internal/gate/caches/caches.go
+++ b/internal/gate/caches/caches.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -80,9 +79,7 @@
 
 // Caches is a suture service. See [New].
 type Caches struct {
-	options Options
-
-	mu        sync.Mutex
+	options   Options
 	followers map[Source]context.CancelFunc
 }
 
--- /dev/null
+++ b/internal/gate/caches/caches_test.go
@@ -0,0 +1,125 @@
+package caches_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/assert"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/cicadamill/cicadamill/internal/gate/caches"
+	"github.com/cicadamill/cicadamill/internal/gate/pick"
+)
+
+// cache plays one cache's answers; the last one stays.
+type cache struct {
+	mu      sync.Mutex
+	answers []caches.Events
+	err     error
+	from    []uint64
+	lists   int
+}
+
+func (c *cache) Events(ctx context.Context, _ caches.Source, from uint64, wait time.Duration) (caches.Events, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.from = append(c.from, from)
+	if c.err != nil {
+		return caches.Events{}, c.err
+	}
+	next := c.answers[0]
+	if len(c.answers) > 1 {
+		c.answers = c.answers[1:]
+		return next, nil
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+	return caches.Events{Start: next.Start, Next: next.Next}, nil
+}
+
+func (c *cache) Held(context.Context, caches.Source) (caches.Events, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lists++
+	return caches.Events{Start: 1, Next: 50, Parts: []pick.Cached{{ID: "all"}}}, nil
+}
+
+// follow follows one cache for three seconds and returns what was told.
+func follow(t *testing.T, c *cache, name string, others []string) (told []string) {
+	t.Helper()
+	service := caches.New(caches.Options{
+		Name: name, Client: c, Nodes: func() []string { return others },
+		Sources: func() []caches.Source { return []caches.Source{{Name: "e", Address: "10.0.0.1:80"}} },
+		Learn: func(_ string, parts []pick.Cached) {
+			for _, p := range parts {
+				told = append(told, p.ID)
+			}
+		},
+		Forget: func(string) { told = append(told, "forget") }, Scope: tally.NoopScope, Logger: hclog.NewNullLogger(),
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	assert.Error(t, service.Serve(ctx))
+	return told
+}
+
+func events(start, next uint64, lost bool, ids ...string) caches.Events {
+	e := caches.Events{Start: start, Next: next, Lost: lost}
+	for _, id := range ids {
+		e.Parts = append(e.Parts, pick.Cached{ID: id})
+	}
+	return e
+}
+
+func TestFollow(t *testing.T) {
+	tests := map[string]struct {
+		answers []caches.Events
+		want    []string
+		lists   int
+	}{
+		"events in order":   {[]caches.Events{events(1, 5, false, "a"), events(1, 6, false, "b"), {Start: 1, Next: 6}}, []string{"a", "b"}, 0},
+		"events were lost":  {[]caches.Events{events(1, 5, false, "a"), events(1, 40, true, "z"), {Start: 1, Next: 50}}, []string{"a", "forget", "all"}, 1},
+		"the cache restart": {[]caches.Events{events(1, 5, false, "a"), events(2, 1, false, "x"), events(2, 2, false, "b"), {Start: 2, Next: 2}}, []string{"a", "forget", "b"}, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := &cache{answers: test.answers}
+				assert.Equal(t, test.want, follow(t, c, "n", nil))
+				assert.Equal(t, test.lists, c.lists)
+			})
+		})
+	}
+}
+
+// TestEachCacheIsFollowedByOneNode: the number of calls does not grow with the
+// number of nodes.
+func TestEachCacheIsFollowedByOneNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		names := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+		following := 0
+		for i, name := range names {
+			c := &cache{answers: []caches.Events{events(1, 1, false)}}
+			follow(t, c, name, append(append([]string{}, names[:i]...), names[i+1:]...))
+			if len(c.from) > 0 {
+				following++
+			}
+		}
+		assert.Equal(t, 1, following)
+	})
+}
+
+func TestCacheThatDoesNotAnswerIsNotHammered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &cache{err: errors.New("refused")}
+		assert.Empty(t, follow(t, c, "n", nil))
+		assert.Less(t, len(c.from), 10)
+	})
+}
--- /dev/null
+++ b/internal/gate/desk/desk_test.go
@@ -0,0 +1,125 @@
+package desk_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadamill/cicadamill/internal/gate/desk"
+	"github.com/cicadamill/cicadamill/internal/gate/roster"
+	"github.com/cicadamill/cicadamill/internal/safety/order"
+	"github.com/cicadamill/cicadamill/internal/target/engine"
+)
+
+// engines plays the engines' side.
+type engines struct {
+	report desk.Report
+	asked  int
+	loads  []desk.Load
+}
+
+func (e *engines) Report(context.Context, roster.Target) (desk.Report, error) {
+	e.asked++
+	return e.report, nil
+}
+
+func (e *engines) Load(_ context.Context, _ roster.Target, load desk.Load) error {
+	e.loads = append(e.loads, load)
+	return nil
+}
+
+type world struct {
+	*desk.Desk
+	engines engines
+	targets map[string]roster.Target
+	loaded  []uint64
+}
+
+func newWorld() *world {
+	w := &world{targets: map[string]roster.Target{
+		"e":    {ID: "e", Born: 1, Versions: map[string]uint64{"m": 1}},
+		"left": {ID: "left", Born: 1, Leaving: true, Versions: map[string]uint64{"m": 1}},
+		"app":  {ID: "app", Born: 1},
+	}}
+	w.Desk = desk.New(desk.Options{
+		Engines: &w.engines, Targets: func() map[string]roster.Target { return w.targets }, Running: func(string) int { return 2 },
+		Wanted: func() map[string]uint64 { return map[string]uint64{"m": 2} }, ChecksFence: func() bool { return false },
+		Loaded: func(_, _ string, version uint64) { w.loaded = append(w.loaded, version) }, Logger: hclog.NewNullLogger(),
+	})
+	return w
+}
+
+func (w *world) dial(t *testing.T, id string) engine.Client {
+	t.Helper()
+	c, ok := w.Dial(id)
+	require.True(t, ok)
+	return c
+}
+
+func TestConfigNamesEnginesThatStay(t *testing.T) {
+	config := newWorld().Config()
+	require.Len(t, config.Engines, 1)
+	assert.Equal(t, "e", config.Engines[0].Name)
+	assert.Equal(t, "2", config.Models[0].WeightVersion)
+}
+
+func TestEngineAtWorkIsNotAsked(t *testing.T) {
+	w := newWorld()
+	load, err := w.dial(t, "e").Load(t.Context())
+	require.NoError(t, err)
+	assert.Equal(t, "1", load.WeightVersion)
+	assert.Equal(t, 2, load.Running)
+	assert.Zero(t, w.engines.asked)
+}
+
+func TestEmptyLoadAndBack(t *testing.T) {
+	w := newWorld()
+	e := w.dial(t, "e")
+	require.NoError(t, e.Order(t.Context(), engine.SetRole{Role: order.RoleDrain}))
+	assert.Equal(t, []string{"e"}, w.Emptied())
+	w.engines.report = desk.Report{Versions: map[string]uint64{"m": 1}, Orders: 4, Running: 3}
+	load, err := e.Load(t.Context())
+	require.NoError(t, err)
+	assert.Equal(t, order.RoleDrain, load.Role)
+	assert.Equal(t, 3, load.Running)
+
+	require.NoError(t, e.Order(t.Context(), engine.LoadModel{Model: "m", WeightVersion: "2", Fence: 9}))
+	assert.Equal(t, []desk.Load{{Model: "m", Version: 2, Fence: 9, After: 4}}, w.engines.loads, "a late copy of an older order is refused by its number")
+
+	w.engines.report = desk.Report{Versions: map[string]uint64{"m": 2}, Orders: 5}
+	load, err = e.Load(t.Context())
+	require.NoError(t, err)
+	assert.Equal(t, "2", load.WeightVersion)
+	assert.Contains(t, w.loaded, uint64(2))
+	require.NoError(t, e.Order(t.Context(), engine.SetRole{Role: order.RoleServe}))
+	assert.Empty(t, w.Emptied())
+}
+
+func TestRestartedEngineIsNotEmptied(t *testing.T) {
+	w := newWorld()
+	require.NoError(t, w.dial(t, "e").Order(t.Context(), engine.SetRole{Role: order.RoleDrain}))
+	next := w.targets["e"]
+	next.Born = 2
+	w.targets["e"] = next
+	assert.Empty(t, w.Emptied())
+}
+
+func TestBadOrders(t *testing.T) {
+	w := newWorld()
+	tests := map[string]engine.Order{
+		"version that is no number": engine.LoadModel{Model: "m", WeightVersion: "two"},
+		"order that engines lack":   engine.LoadAdapter{Adapter: "a", Version: "1"},
+	}
+	for name, o := range tests {
+		t.Run(name, func(t *testing.T) {
+			var failure *engine.Error
+			require.ErrorAs(t, w.dial(t, "e").Order(t.Context(), o), &failure)
+			assert.Equal(t, engine.Invalid, failure.Code)
+		})
+	}
+	_, ok := w.Dial("nobody")
+	assert.False(t, ok)
+}
--- a/internal/gate/doors/doors.go
+++ b/internal/gate/doors/doors.go
@@ -15,6 +15,7 @@
 
 // Doors is a listener with the server of the present limits. See [New].
 type Doors struct {
+	ctx      context.Context
 	listener net.Listener
 	handler  http.Handler
 
@@ -30,17 +31,19 @@
 	server *http.Server
 	conns  chan net.Conn
 	closed chan struct{}
+	ended  chan error
 	once   sync.Once
 	addr   net.Addr
 }
 
-// New returns doors that are closed until Serve runs.
+// New returns doors that are closed until Serve runs. Their servers end with
+// Shutdown, or with the context at the latest.
 //
-//	front := doors.New(listener, handler, limits)
+//	front := doors.New(ctx, listener, handler, limits)
 //	go front.Serve(ctx)
 //	front.SetLimits(next)
-func New(listener net.Listener, handler http.Handler, limits local.Limits) *Doors {
-	d := &Doors{listener: listener, handler: handler, open: map[*conn]struct{}{}}
+func New(ctx context.Context, listener net.Listener, handler http.Handler, limits local.Limits) *Doors {
+	d := &Doors{ctx: ctx, listener: listener, handler: handler, open: map[*conn]struct{}{}}
 	d.SetLimits(limits)
 	return d
 }
@@ -56,11 +59,11 @@
 		d.old = append(d.old, d.current)
 	}
 	h := &hall{
-		server: limit.Server(d.handler, limits), conns: make(chan net.Conn), closed: make(chan struct{}), addr: d.listener.Addr(),
+		server: limit.Server(d.handler, limits), conns: make(chan net.Conn), closed: make(chan struct{}), ended: make(chan error, 1), addr: d.listener.Addr(),
 	}
 	h.server.ConnState = connState
 	d.limits, d.current = limits, h
-	go func() { _ = h.server.Serve(limit.Listen(h)) }()
+	go func(context.Context) { h.ended <- h.server.Serve(limit.Listen(h)) }(d.ctx)
 }
 
 // Serve accepts connections until the context ends or the listener fails.
@@ -124,6 +127,7 @@
 		if err := h.server.Shutdown(ctx); err != nil {
 			_ = h.server.Close()
 		}
+		<-h.ended
 	}
 }
 
--- /dev/null
+++ b/internal/gate/event/event_test.go
@@ -0,0 +1,63 @@
+package event_test
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadamill/cicadamill/internal/gate/event"
+)
+
+var errReset = errors.New("connection reset")
+
+func TestNext(t *testing.T) {
+	long := strings.Repeat("x", 100_000)
+	tests := map[string]struct {
+		text string
+		then error
+		raw  []string
+		ids  []string
+		end  error
+	}{
+		"whole events":         {text: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", raw: []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}, ids: []string{"1", "2"}, end: io.EOF},
+		"carriage returns":     {text: "id:7\r\ndata: a\r\n\r\n", raw: []string{"id:7\r\ndata: a\r\n\r\n"}, ids: []string{"7"}, end: io.EOF},
+		"event without number": {text: "data: a\n\n", raw: []string{"data: a\n\n"}, ids: []string{""}, end: io.EOF},
+		"ends within a line":   {text: "id: 1\n\nid: 2\nda", raw: []string{"id: 1\n\n"}, ids: []string{"1"}, end: io.ErrUnexpectedEOF},
+		"ends within an event": {text: "id: 2\ndata: b\n", end: io.ErrUnexpectedEOF},
+		"reset after an event": {text: "id: 1\n\n", then: errReset, raw: []string{"id: 1\n\n"}, ids: []string{"1"}, end: errReset},
+		"empty":                {end: io.EOF},
+		"blank lines between":  {text: "\n\nid: 1\n\n\n", raw: []string{"id: 1\n\n"}, ids: []string{"1"}, end: io.EOF},
+		"long line":            {text: "data: " + long + "\n\n", raw: []string{"data: " + long + "\n\n"}, ids: []string{""}, end: io.EOF},
+		"too large":            {text: strings.Repeat("data: "+long+"\n", 11), end: event.ErrTooLarge},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var in io.Reader = strings.NewReader(test.text)
+			if test.then != nil {
+				in = io.MultiReader(in, iotest.ErrReader(test.then))
+			}
+			events := event.New(iotest.HalfReader(in))
+			for i, want := range test.raw {
+				next, err := events.Next()
+				require.NoError(t, err)
+				assert.Equal(t, want, string(next.Raw))
+				assert.Equal(t, test.ids[i], next.ID)
+			}
+			_, err := events.Next()
+			assert.ErrorIs(t, err, test.end)
+		})
+	}
+}
+
+func ExampleReader_Next() {
+	events := event.New(strings.NewReader("id: 4\ndata: posts\n\n"))
+	next, _ := events.Next()
+	fmt.Println(next.ID)
+	// Output: 4
+}
--- a/internal/gate/host/host.go
+++ b/internal/gate/host/host.go
@@ -30,6 +30,7 @@
 	"github.com/cicadamill/cicadamill/internal/infra/table"
 	"github.com/cicadamill/cicadamill/internal/node/orders"
 	"github.com/cicadamill/cicadamill/internal/route/quota"
+	"github.com/cicadamill/cicadamill/internal/safety/blame"
 	"github.com/cicadamill/cicadamill/internal/watch/meter"
 	"github.com/cicadamill/cicadamill/internal/watch/spool"
 )
@@ -121,8 +122,8 @@
 
 	mu     sync.Mutex
 	roster *roster.State
+	blame  *blame.State
 	picks  *pick.State
-	named  map[string]time.Time
 
 	pool   *pool.Pool
 	peers  *peers.Peers
@@ -142,7 +143,7 @@
 func New(settings Settings, platform Platform, logger hclog.Logger, lines *spool.Spool) *Host {
 	h := &Host{
 		settings: settings, platform: platform, logger: logger, lines: lines,
-		roster: roster.New(), named: map[string]time.Time{},
+		roster: roster.New(), blame: blame.New(),
 		picks: pick.New(pick.Options{DataCentre: settings.DataCentre, Seed: seedOf(settings.Name)}),
 		meter: meter.New(time.Second, logger), feeds: map[string]*feed.Feed{},
 	}
@@ -161,6 +162,7 @@
 	h.relay = relay.New(relay.Options{
 		Codec: platform.Codec, Plan: h.plan.Load, Picks: h.picks, Lock: &h.mu, Pool: h.pool, Fleet: h.peers,
 		Bound: settings.Bounds.Repeats, Leave: time.Minute, Seen: h.seen, Scope: h.meter.Scope(), Logger: logger,
+		Blame: h.blame,
 	})
 	h.addFeed(platform.OperatorTable, h.operatorRows, h.operatorRows, nil)
 	h.addFeed(platform.TargetTable, h.targetReset, h.targetChange, h.regained)
@@ -189,9 +191,9 @@
 	if err != nil {
 		return errors.Annotate(err, "listening for clients")
 	}
-	h.doors = doors.New(front, h.closing(h.relay), local.Limits{})
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	h.doors = doors.New(running, front, h.closing(h.relay), local.Limits{})
 	supervisor := suture.New(h.settings.Name, suture.Spec{EventHook: h.supervised})
 	for _, f := range h.feeds {
 		supervisor.Add(f)
--- a/internal/gate/host/know.go
+++ b/internal/gate/host/know.go
@@ -204,6 +204,11 @@
 func (h *Host) spread() {
 	h.mu.Lock()
 	targets := h.roster.Targets()
+	for id, old := range h.listedTargets() {
+		if t, ok := targets[id]; !old.Leaving && (!ok || t.Born != old.Born) {
+			h.blame.Died(time.Now(), id)
+		}
+	}
 	h.picks.SetTargets(targets)
 	for id, t := range h.picks.Versions() {
 		entry := targets[id]
@@ -249,6 +254,7 @@
 		emptied := h.peers.Emptied(now)
 		h.mu.Lock()
 		expired := h.roster.Expire(now)
+		h.picks.Expire(now)
 		h.picks.SetEmptied(emptied)
 		h.picks.SetFloor(now, h.oldestAge())
 		h.mu.Unlock()
@@ -310,7 +316,7 @@
 func (h *Host) compose() peers.Message {
 	now := time.Now()
 	h.mu.Lock()
-	message := peers.Message{Report: h.picks.Report(now), Wanted: h.picks.Wanted(now)}
+	message := peers.Message{Report: h.picks.Report(now), Wanted: h.picks.Wanted(now), Crashes: h.blame.Entries(now)}
 	h.mu.Unlock()
 	message.Emptied = h.emptied()
 	return message
@@ -331,6 +337,7 @@
 	now := time.Now()
 	h.mu.Lock()
 	h.picks.Hear(now, m.From, m.Report)
+	h.blame.Hear(now, m.Crashes)
 	h.mu.Unlock()
 	for model, named := range m.Wanted {
 		h.noteWeights(model, named)
--- a/internal/gate/peers/peers.go
+++ b/internal/gate/peers/peers.go
@@ -23,6 +23,7 @@
 
 	"github.com/cicadamill/cicadamill/internal/gate/feed"
 	"github.com/cicadamill/cicadamill/internal/gate/pick"
+	"github.com/cicadamill/cicadamill/internal/safety/blame"
 )
 
 // The paths of the peers' listener.
@@ -63,6 +64,8 @@
 	Wanted map[string]pick.Named `json:"wanted,omitempty"`
 	// Emptied is set by the holder of the lease for orders.
 	Emptied *Emptied `json:"emptied,omitempty"`
+	// Crashes are the requests that crashed targets.
+	Crashes []blame.Entry `json:"crashes,omitempty"`
 	// Leaving is true when the sender ends.
 	Leaving bool `json:"leaving,omitempty"`
 }
--- /dev/null
+++ b/internal/gate/peers/peers_test.go
@@ -0,0 +1,145 @@
+package peers_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/cicadamill/cicadamill/internal/gate/feed"
+	"github.com/cicadamill/cicadamill/internal/gate/peers"
+	"github.com/cicadamill/cicadamill/internal/gate/pick"
+)
+
+// node is one host with its listener.
+type node struct {
+	*peers.Peers
+	server *httptest.Server
+
+	mu    sync.Mutex
+	heard []peers.Message
+}
+
+func (n *node) last() (peers.Message, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.heard) == 0 {
+		return peers.Message{}, false
+	}
+	return n.heard[len(n.heard)-1], true
+}
+
+func newNode(t *testing.T, name string) *node {
+	t.Helper()
+	n := &node{server: httptest.NewUnstartedServer(nil)}
+	n.Peers = peers.New(peers.Options{
+		Name: name, Address: n.server.Listener.Addr().String(),
+		Compose: func() peers.Message {
+			return peers.Message{Report: pick.Report{Work: map[string]pick.Count{"e": {Running: len(name)}}}}
+		},
+		Hear: func(m peers.Message) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.heard = append(n.heard, m)
+		},
+		Rows: func(table string, _ uint64) (feed.Page, bool) {
+			return feed.Page{Version: 5, Rows: []feed.Row{{Key: "k", Version: 5}}}, table == "t"
+		},
+		Scope: tally.NoopScope, Logger: hclog.NewNullLogger(),
+	})
+	n.server.Config.Handler = n
+	n.server.Start()
+	t.Cleanup(n.server.Close)
+	return n
+}
+
+func serve(t *testing.T, nodes ...*node) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, len(nodes))
+	for _, n := range nodes {
+		go func(ctx context.Context) { ended <- n.Serve(ctx) }(ctx)
+	}
+	t.Cleanup(func() {
+		cancel()
+		for range nodes {
+			<-ended
+		}
+	})
+}
+
+func TestNodesHearOfEachOther(t *testing.T) {
+	a, b := newNode(t, "a"), newNode(t, "bb")
+	a.Add("bb", b.server.Listener.Addr().String())
+	serve(t, a, b)
+	require.Eventually(t, func() bool { _, ok := a.last(); return ok }, 5*time.Second, 10*time.Millisecond, "b answers although only a knew of b")
+	m, _ := a.last()
+	assert.Equal(t, "bb", m.From)
+	assert.Equal(t, 2, m.Report.Work["e"].Running)
+	assert.Equal(t, 2, a.Nodes())
+	assert.Equal(t, []string{"bb"}, a.Up(time.Now()))
+	assert.Empty(t, a.Up(time.Now().Add(time.Minute)))
+}
+
+func TestEmptiedTargetsFollowTheHighestFence(t *testing.T) {
+	n := newNode(t, "a")
+	now := time.Now()
+	n.Empty(peers.Emptied{Fence: 5, Targets: []string{"x"}})
+	n.Empty(peers.Emptied{Fence: 4, Targets: []string{"y"}})
+	assert.Equal(t, map[string]bool{"x": true}, n.Emptied(now))
+	assert.Empty(t, n.Emptied(now.Add(3*time.Second)), "the word of a holder that is silent ends")
+	n.Empty(peers.Emptied{Fence: 6})
+	assert.Empty(t, n.Emptied(time.Now()))
+}
+
+func TestRowsOfAPeer(t *testing.T) {
+	a, b := newNode(t, "a"), newNode(t, "b")
+	_, err := a.Rows(t.Context(), "t", 0)
+	require.Error(t, err, "nobody is known")
+	a.Add("b", b.server.Listener.Addr().String())
+	got, err := a.Rows(t.Context(), "t", 0)
+	require.NoError(t, err)
+	assert.Equal(t, uint64(5), got.Version)
+	_, err = a.Rows(t.Context(), "other", 0)
+	assert.Error(t, err)
+}
+
+func TestLeavingNodeIsForgotten(t *testing.T) {
+	a, b := newNode(t, "a"), newNode(t, "b")
+	b.Add("a", a.server.Listener.Addr().String())
+	b.Leave()
+	serve(t, b)
+	require.Eventually(t, func() bool { m, ok := a.last(); return ok && m.Leaving }, 5*time.Second, 10*time.Millisecond)
+	assert.Equal(t, 1, a.Nodes())
+}
+
+func TestBadMessages(t *testing.T) {
+	n := newNode(t, "a")
+	tests := map[string]struct {
+		method, path, body string
+		status             int
+	}{
+		"cut short":     {"POST", "/v1/peer/work", `{"from":"x"`, 400},
+		"wrong type":    {"POST", "/v1/peer/work", `{"from":7}`, 400},
+		"unknown path":  {"POST", "/v1/peer/other", `{}`, 404},
+		"wrong method":  {"GET", "/v1/peer/work", ``, 404},
+		"no version":    {"GET", "/v1/peer/rows/t", ``, 400},
+		"unknown table": {"GET", "/v1/peer/rows/u?after=1", ``, 404},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			recorder := httptest.NewRecorder()
+			n.ServeHTTP(recorder, httptest.NewRequest(test.method, test.path, strings.NewReader(test.body)))
+			assert.Equal(t, test.status, recorder.Code)
+		})
+	}
+	_, heard := n.last()
+	assert.False(t, heard)
+}
--- a/internal/gate/pick/choose.go
+++ b/internal/gate/pick/choose.go
@@ -66,7 +66,7 @@
 	t       *target
 	version uint64
 	parts   []part
-	go_     Go
+	verdict Go
 	cost    float64
 	// crowded is true when the work ahead would make this and others late.
 	crowded bool
@@ -105,10 +105,10 @@
 	if best.crowded {
 		return Wait{Reason: "the work ahead would take too long", After: best.wait}
 	}
-	if best.go_.Expected > r.Left {
-		return Refuse{Reason: "the answer would come too late", RetryAfter: max(best.go_.Expected/2, minRetryAfter)}
+	if best.verdict.Expected > r.Left {
+		return Refuse{Reason: "the answer would come too late", RetryAfter: max(best.verdict.Expected/2, minRetryAfter)}
 	}
-	return best.go_
+	return best.verdict
 }
 
 func (s *State) isModel(r Request) bool { return r.Prompt.Model != "" }
@@ -163,7 +163,7 @@
 			cost += zoneCost
 		}
 		if s.better(cost, best.cost) {
-			best = option{t: t, cost: cost, go_: Go{Target: t.Target, Expected: expected, Load: count, Age: age}}
+			best = option{t: t, cost: cost, verdict: Go{Target: t.Target, Expected: expected, Load: count, Age: age}}
 		}
 	}
 	return best
@@ -201,13 +201,18 @@
 	named := s.wanted[r.Prompt.Model]
 	best := option{cost: math.Inf(1)}
 	owners := s.owners(open, r, chains)
+	known := map[uint64]*holdings{}
 	for _, t := range open {
 		version := t.Versions[r.Prompt.Model]
-		o := s.weigh(now, t, r, version, s.chainOf(chains, r, version))
+		parts := s.chainOf(chains, r, version)
+		if known[version] == nil {
+			known[version] = s.holdingsOf(now, r, version, parts[:len(r.Prompt.Shared())])
+		}
+		o := s.weigh(now, t, r, version, parts, known[version])
 		if since, old := named.replaced(version); old && now.Sub(since) > oldGrace {
 			o.cost += oldCost
 		}
-		if owner, ok := owners[version]; ok && owner != t && o.go_.Cached+o.go_.Fetched == 0 {
+		if owner, ok := owners[version]; ok && owner != t && o.verdict.Cached+o.verdict.Fetched == 0 {
 			o.cost += strayCost
 		}
 		if o.crowded {
@@ -249,14 +254,15 @@
 }
 
 // weigh works out what a request would cost at one engine.
-func (s *State) weigh(now time.Time, t *target, r Request, version uint64, parts []part) option {
+func (s *State) weigh(now time.Time, t *target, r Request, version uint64, parts []part, known *holdings) option {
 	v := s.speed(r.Service)
 	count, age := t.work(now)
 	shared := parts[:len(r.Prompt.Shared())]
 	cached, _ := t.cache.depth(parts)
 	fetched, from, sameZone := 0, "", true
-	if sharedTokens := sum(shared); cached < sharedTokens {
-		fetched, from, sameZone = s.donor(now, t, r.Prompt.Model, version, shared, min(cached, sharedTokens))
+	sharedTokens := sum(shared)
+	if cached < sharedTokens {
+		fetched, from, sameZone = known.donor(t, cached)
 	}
 	miss := max(r.Prompt.Tokens-cached-fetched, 0)
 	fetchTime := s.fetchTime(t, fetched, sameZone)
@@ -276,41 +282,75 @@
 		}
 	}
 	cost += float64(fetched) / 1000 * fetchCost
-	if reread := s.heldElsewhere(shared) - cached - fetched; reread > 0 {
+	if reread := known.most - cached - fetched; reread > 0 {
 		cost += rereadCost * float64(reread) / 1000
 	}
 	if t.DataCentre != s.options.DataCentre {
 		cost += zoneCost * float64(2*r.Prompt.Tokens+tokenText*r.Prompt.MaxOutput) / 10_000
 	}
-	return option{t: t, version: version, parts: parts, cost: cost, crowded: crowded, wait: wait, go_: Go{
+	return option{t: t, version: version, parts: parts, cost: cost, crowded: crowded, wait: wait, verdict: Go{
 		Target: t.Target, Version: version, Scope: scopeOf(version, r.Scope), FetchFrom: from, SaveTo: s.saveTo(parts, shared, cached, fetched),
-		Shared: sum(shared), Cached: cached, Fetched: fetched, Expected: expected, Load: count, Age: age,
+		Shared: sharedTokens, Cached: cached, Fetched: fetched, Expected: expected, Load: count, Age: age,
 	}}
 }
 
-// donor finds who holds the most of the shared parts beyond what the engine
-// itself holds.
-func (s *State) donor(now time.Time, t *target, model string, version uint64, shared []part, cached int) (int, string, bool) {
-	best, from, near := cached+minFetch-1, "", false
-	for _, d := range s.services[t.Service] {
-		if d == t || d.Versions[model] != version || now.Before(d.suspect) {
+// holdings is who holds the shared parts of one request under one version.
+type holdings struct {
+	// most is the largest number of their tokens that any engine is believed to
+	// hold.
+	most int
+	// best is the holder of the most tokens that can be copied, near the same for
+	// each data centre.
+	best holder
+	near map[string]holder
+}
+
+type holder struct {
+	tokens  int
+	address string
+	centre  string
+}
+
+func (s *State) holdingsOf(now time.Time, r Request, version uint64, shared []part) *holdings {
+	h := &holdings{near: map[string]holder{}}
+	if len(shared) == 0 {
+		return h
+	}
+	for _, t := range s.services[r.Service] {
+		if t.Versions[r.Prompt.Model] != version || now.Before(t.suspect) {
 			continue
 		}
-		_, tokens := d.cache.depth(shared)
-		same := d.DataCentre == t.DataCentre
-		if tokens > best || tokens == best && from != "" && same && !near {
-			best, from, near = tokens, d.Address, same
-		}
+		all, sure := t.cache.depth(shared)
+		h.most = max(h.most, all)
+		h.add(holder{tokens: sure, address: t.Address, centre: t.DataCentre})
 	}
 	for _, st := range s.stores {
-		if _, tokens := st.cache.depth(shared); tokens > best {
-			best, from, near = tokens, st.Address, st.DataCentre == t.DataCentre
-		}
+		_, sure := st.cache.depth(shared)
+		h.add(holder{tokens: sure, address: st.Address, centre: st.DataCentre})
 	}
-	if from == "" {
+	return h
+}
+
+func (h *holdings) add(next holder) {
+	if next.tokens > h.best.tokens {
+		h.best = next
+	}
+	if next.tokens > h.near[next.centre].tokens {
+		h.near[next.centre] = next
+	}
+}
+
+// donor returns who holds more of the shared parts than an engine itself, the
+// nearest of those that hold the most.
+func (h *holdings) donor(t *target, cached int) (tokens int, address string, near bool) {
+	best := h.best
+	if n := h.near[t.DataCentre]; n.tokens == best.tokens {
+		best = n
+	}
+	if best.tokens-cached < minFetch || best.address == t.Address {
 		return 0, "", true
 	}
-	return best - cached, from, near
+	return best.tokens - cached, best.address, best.centre == t.DataCentre
 }
 
 func (s *State) fetchTime(t *target, tokens int, sameZone bool) time.Duration {
@@ -325,18 +365,6 @@
 	return took + fetchSetup
 }
 
-// heldElsewhere returns how many tokens of the parts some engine or store holds.
-func (s *State) heldElsewhere(shared []part) int {
-	best := 0
-	for _, t := range s.targets {
-		if t.engines != nil {
-			tokens, _ := t.cache.depth(shared)
-			best = max(best, tokens)
-		}
-	}
-	return best
-}
-
 // saveTo names a store for shared parts that it lacks and that the engine reads
 // now. The whole prompt goes there: one with a long part of its own would push
 // out more than it brings.
--- a/internal/gate/pick/message.go
+++ b/internal/gate/pick/message.go
@@ -92,6 +92,10 @@
 	return Count{Running: c.Running + d.Running, Prefill: c.Prefill + d.Prefill, Memory: c.Memory + d.Memory}
 }
 
+func (c Count) minus(d Count) Count {
+	return Count{Running: c.Running - d.Running, Prefill: c.Prefill - d.Prefill, Memory: c.Memory - d.Memory}
+}
+
 // Placed tells that a part of a prompt is on its way into a target's cache.
 type Placed struct {
 	// Part is the hash of the part with its model and scope.
--- a/internal/gate/pick/run.go
+++ b/internal/gate/pick/run.go
@@ -169,6 +169,13 @@
 	}
 }
 
+// Expire drops what other nodes said too long ago.
+func (s *State) Expire(now time.Time) {
+	for _, t := range s.targets {
+		t.expire(now)
+	}
+}
+
 // Report returns what the other nodes should know, and begins the next report.
 func (s *State) Report(now time.Time) Report {
 	r := Report{Work: map[string]Count{}, Placed: s.placed, Cached: s.cached, Versions: s.Versions()}
@@ -188,9 +195,9 @@
 func (s *State) Hear(now time.Time, peer string, r Report) {
 	for id, t := range s.targets {
 		if count, ok := r.Work[id]; ok {
-			t.others[peer] = heard{count: count, at: now}
+			t.hear(now, peer, &count)
 		} else {
-			delete(t.others, peer)
+			t.hear(now, peer, nil)
 		}
 	}
 	for _, p := range r.Placed {
--- a/internal/gate/pick/target.go
+++ b/internal/gate/pick/target.go
@@ -27,6 +27,9 @@
 	engines *plan.Engines
 	own     Count
 	others  map[string]heard
+	// sum is the work of others, oldest the time of its oldest figure.
+	sum     Count
+	oldest  time.Time
 	cache   *belief
 	emptied bool
 	full    time.Time
@@ -61,17 +64,38 @@
 // work returns the work of all nodes at the target and the age of the oldest
 // figure in it.
 func (t *target) work(now time.Time) (Count, time.Duration) {
-	sum, oldest := t.own, time.Duration(0)
+	if len(t.others) == 0 {
+		return t.own, 0
+	}
+	return t.own.plus(t.sum), now.Sub(t.oldest)
+}
+
+// hear takes another node's work at the target; nil when it has none.
+func (t *target) hear(now time.Time, peer string, count *Count) {
+	old, known := t.others[peer]
+	if !known && count == nil {
+		return
+	}
+	t.sum = t.sum.minus(old.count)
+	delete(t.others, peer)
+	if count != nil {
+		t.others[peer] = heard{count: *count, at: now}
+		t.sum = t.sum.plus(*count)
+	}
+}
+
+// expire drops what peers said too long ago.
+func (t *target) expire(now time.Time) {
+	t.oldest = now
 	for peer, h := range t.others {
-		age := now.Sub(h.at)
-		if age > peerAge {
-			delete(t.others, peer)
+		if now.Sub(h.at) > peerAge {
+			t.hear(now, peer, nil)
 			continue
 		}
-		sum = sum.plus(h.count)
-		oldest = max(oldest, age)
+		if h.at.Before(t.oldest) {
+			t.oldest = h.at
+		}
 	}
-	return sum, oldest
 }
 
 // failed notes that the target broke a request; silent means that it did not
--- a/internal/gate/relay/answer.go
+++ b/internal/gate/relay/answer.go
@@ -65,7 +65,7 @@
 		return gone{}
 	case err != nil:
 		s.end = pick.Failed
-		return broken{reason: "answer broken off: " + reasonOf(err)}
+		return broken{reason: "answer broken off: " + reasonOf(err), lost: isLost(err)}
 	case len(body) > maxAnswerBytes:
 		s.end = pick.Failed
 		return broken{reason: "answer too large"}
@@ -101,48 +101,62 @@
 
 // stream passes events on as they come, each whole.
 func (h *Handler) stream(client context.Context, w http.ResponseWriter, s *sending, response *http.Response) result {
-	j := s.job
 	events := event.New(response.Body)
 	controller := http.NewResponseController(w)
-	first := true
 	for {
 		next, err := events.Next()
-		if err != nil && client.Err() != nil {
-			return gone{}
-		}
-		if errors.Is(err, io.EOF) {
-			if !j.stream.begun {
-				h.beginStream(w, j, response)
-			}
-			s.end = pick.Whole
-			return done{status: response.StatusCode}
-		}
 		if err != nil {
-			s.end = pick.Failed
-			return broken{reason: "stream broken off: " + reasonOf(err)}
+			return h.endStream(client, w, s, response, err)
 		}
-		if first {
-			first = false
+		if s.first == 0 {
 			h.firstEvent(s)
 		}
-		if version, ok := h.options.Codec.EventVersion(next.Raw); ok {
-			h.options.Seen(s.chosen.Target.ID, j.call.Prompt.Model, version)
+		if err := h.pass(w, s, response, next); err != nil {
+			return gone{}
 		}
-		if !j.stream.begun {
-			h.beginStream(w, j, response)
+		if events.Buffered() {
+			continue
 		}
-		if _, err := w.Write(next.Raw); err != nil {
+		if err := controller.Flush(); err != nil {
 			return gone{}
 		}
-		if next.ID != "" {
-			j.stream.last = next.ID
-		}
-		if !events.Buffered() {
-			if err := controller.Flush(); err != nil {
-				return gone{}
-			}
+	}
+}
+
+// endStream tells what the end of a target's events means. Only a clean end after
+// a whole event is the end of the stream.
+func (h *Handler) endStream(client context.Context, w http.ResponseWriter, s *sending, response *http.Response, err error) result {
+	switch {
+	case client.Err() != nil:
+		return gone{}
+	case errors.Is(err, io.EOF):
+		if !s.job.stream.begun {
+			h.beginStream(w, s.job, response)
 		}
+		s.end = pick.Whole
+		return done{status: response.StatusCode}
+	default:
+		s.end = pick.Failed
+		return broken{reason: "stream broken off: " + reasonOf(err), lost: isLost(err)}
+	}
+}
+
+// pass gives the client one event.
+func (h *Handler) pass(w http.ResponseWriter, s *sending, response *http.Response, next event.Event) error {
+	j := s.job
+	if version, ok := h.options.Codec.EventVersion(next.Raw); ok {
+		h.options.Seen(s.chosen.Target.ID, j.call.Prompt.Model, version)
+	}
+	if !j.stream.begun {
+		h.beginStream(w, j, response)
+	}
+	if _, err := w.Write(next.Raw); err != nil {
+		return err
+	}
+	if next.ID != "" {
+		j.stream.last = next.ID
 	}
+	return nil
 }
 
 func (h *Handler) beginStream(w http.ResponseWriter, j *job, response *http.Response) {
--- a/internal/gate/relay/attempt.go
+++ b/internal/gate/relay/attempt.go
@@ -45,6 +45,8 @@
 // broken means that it may have run, and that the client has no whole answer.
 type broken struct {
 	reason string
+	// lost is true when the target's connection broke.
+	lost bool
 	// answer is a whole failure of the target, if that is what came.
 	answer *answer
 }
@@ -180,6 +182,9 @@
 	}
 	h.options.Lock.Lock()
 	h.options.Picks.Finish(time.Now(), s.run, s.end)
+	if b, ok := r.(broken); ok && b.lost {
+		h.options.Blame.Broke(time.Now(), j.digest, g.Target.ID)
+	}
 	h.options.Lock.Unlock()
 	h.logSending(s, r)
 	return r
@@ -226,7 +231,7 @@
 		return notRun{reason: "not reached: " + reasonOf(err)}
 	default:
 		s.end = pick.Silent
-		return broken{reason: "no answer: " + reasonOf(err)}
+		return broken{reason: "no answer: " + reasonOf(err), lost: isLost(err)}
 	}
 }
 
@@ -276,6 +281,11 @@
 	return func() { timer.Stop() }
 }
 
+// isLost reports whether an error tells of a broken connection, not of time.
+func isLost(err error) bool {
+	return !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded)
+}
+
 func reasonOf(err error) string {
 	switch {
 	case errors.Is(err, context.Canceled):
--- a/internal/gate/relay/relay.go
+++ b/internal/gate/relay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
+	"github.com/zeebo/xxh3"
 
 	"github.com/cicadamill/cicadamill/internal/entry/fault"
 	"github.com/cicadamill/cicadamill/internal/gate/call"
@@ -20,6 +21,7 @@
 	"github.com/cicadamill/cicadamill/internal/gate/plan"
 	"github.com/cicadamill/cicadamill/internal/gate/pool"
 	"github.com/cicadamill/cicadamill/internal/route/quota"
+	"github.com/cicadamill/cicadamill/internal/safety/blame"
 	"github.com/cicadamill/cicadamill/internal/safety/effect"
 )
 
@@ -38,7 +40,9 @@
 	// Picks decides where requests go. The handler and its owner share it under
 	// Lock.
 	Picks *pick.State
-	// Lock guards Picks.
+	// Blame knows the requests that crash targets.
+	Blame *blame.State
+	// Lock guards Picks and Blame.
 	Lock *sync.Mutex
 	// Pool holds the connections to targets.
 	Pool *pool.Pool
@@ -49,8 +53,6 @@
 	// Leave is how long a request may take until the client leaves, if it does
 	// not say.
 	Leave time.Duration
-	// MustMatch tells whether only the newest weights may answer.
-	MustMatch func(model string) bool
 	// Seen is told of each version that an answer bears.
 	Seen func(target, model string, version uint64)
 	// Scope takes the metrics.
@@ -145,6 +147,7 @@
 	arrived   time.Time
 	deadline  time.Time
 	excluded  []string
+	digest    uint64
 	// ran is how many targets may have run the request, sent how many got it.
 	ran, sent int
 	// stream is how much of a stream the client has.
@@ -201,9 +204,19 @@
 		}
 		return j, refusal("bodyBroken", http.StatusBadRequest, "the body ended too early", 0)
 	}
+	j.digest = xxh3.HashSeed(j.call.Body, xxh3.HashString(j.workspace.Name+"\x00"+j.call.Path))
+	if h.crashes(j) {
+		return j, refusal("crashRequest", http.StatusServiceUnavailable, "the request has crashed every target that ran it", crashPause)
+	}
 	return j, nil
 }
 
+func (h *Handler) crashes(j *job) bool {
+	h.options.Lock.Lock()
+	defer h.options.Lock.Unlock()
+	return h.options.Blame.Refused(time.Now(), j.digest)
+}
+
 // authenticate finds the workspace that holds the client's key.
 func (j *job) authenticate() error {
 	if j.route.Anonymous || !j.plan.HasWorkspaces {
@@ -220,6 +233,10 @@
 	return nil
 }
 
+// crashPause is how long the client of a request that crashes targets should
+// wait: until what it is blamed for has been looked at.
+const crashPause = 30 * time.Second
+
 // startPause is how long a client should wait for a node that has just started;
 // a store answers within milliseconds.
 const startPause = 300 * time.Millisecond
--- /dev/null
+++ b/internal/gate/roster/roster_test.go
@@ -0,0 +1,81 @@
+package roster_test
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/cicadamill/cicadamill/internal/gate/roster"
+)
+
+var start = time.Unix(1000, 0)
+
+func entry(id string, version uint64, leaving bool, born int64) roster.Change {
+	return roster.Change{ID: id, Version: version, Target: &roster.Target{ID: id, Born: born, Leaving: leaving}}
+}
+
+func names(s *roster.State) []string { return slices.Sorted(maps.Keys(s.Targets())) }
+
+func TestLeavingIsForTheWholeStart(t *testing.T) {
+	s := roster.New()
+	s.Apply(start, entry("a", 1, true, 7))
+	s.Apply(start, entry("a", 2, false, 7))
+	assert.True(t, s.Targets()["a"].Leaving, "a later entry of the same start takes nothing back")
+	s.Apply(start, entry("a", 3, false, 8))
+	assert.False(t, s.Targets()["a"].Leaving, "another start is another target")
+}
+
+func TestOlderEntriesAreDropped(t *testing.T) {
+	s := roster.New()
+	assert.True(t, s.Apply(start, entry("a", 5, true, 1)))
+	assert.False(t, s.Apply(start, entry("a", 4, false, 2)))
+	assert.Equal(t, int64(1), s.Targets()["a"].Born)
+}
+
+func TestUnreadableEntryNamesNoTarget(t *testing.T) {
+	s := roster.New()
+	s.Apply(start, entry("a", 1, false, 1))
+	s.Apply(start, entry("b", 2, false, 1))
+	s.Apply(start, roster.Change{ID: "a", Version: 3, Unreadable: "no service"})
+	assert.Equal(t, []string{"b"}, names(s), "the others hold")
+}
+
+func TestMissingEntries(t *testing.T) {
+	tests := map[string]struct {
+		away    bool
+		after   time.Duration
+		leaving bool
+		want    []string
+	}{
+		"gone at once":                         {want: []string{"b"}},
+		"lapsed with the store away":           {away: true, want: []string{"a", "b"}},
+		"still missing two seconds later":      {away: true, after: 2 * time.Second, want: []string{"b"}},
+		"left before the store went away":      {away: true, leaving: true, want: []string{"b"}},
+		"removed long after the store is back": {away: true, after: 0, want: []string{"a", "b"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := roster.New()
+			s.Reset(start, 10, []roster.Change{entry("a", 1, test.leaving, 1), entry("b", 2, false, 1)})
+			if test.away {
+				s.Returned(start)
+			}
+			s.Reset(start, 20, []roster.Change{entry("b", 2, false, 1)})
+			s.Expire(start.Add(test.after))
+			assert.Equal(t, test.want, names(s))
+		})
+	}
+}
+
+func TestEntryThatComesBackStays(t *testing.T) {
+	s := roster.New()
+	s.Apply(start, entry("a", 1, false, 1))
+	s.Returned(start)
+	s.Apply(start, roster.Change{ID: "a", Version: 2})
+	s.Apply(start.Add(time.Second), entry("a", 3, false, 1))
+	assert.False(t, s.Expire(start.Add(5*time.Second)))
+	assert.Equal(t, []string{"a"}, names(s))
+}
--- /dev/null
+++ b/internal/route/quota/quota_test.go
@@ -0,0 +1,82 @@
+package quota_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/cicadamill/cicadamill/internal/route/quota"
+)
+
+var bound = quota.Bound{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}
+
+// spend takes second sendings until there is none left.
+func spend(q *quota.Quota, now time.Time, nodes int) int {
+	for n := 0; ; n++ {
+		if !q.Again(now, nodes) {
+			return n
+		}
+	}
+}
+
+func TestNodesTogetherStayWithinTheBound(t *testing.T) {
+	tests := map[string]struct{ nodes, firstEach int }{
+		"eight nodes without requests": {nodes: 8},
+		"eight nodes with requests":    {nodes: 8, firstEach: 100},
+		"many nodes, few requests":     {nodes: 71, firstEach: 3},
+		"one node":                     {nodes: 1, firstEach: 50},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			now, total := time.Unix(1000, 0), 0
+			for range test.nodes {
+				q := quota.New(bound)
+				for range test.firstEach {
+					q.First(now)
+				}
+				total += spend(q, now, test.nodes)
+			}
+			assert.LessOrEqual(t, float64(total), bound.Ratio*float64(test.nodes*test.firstEach)+bound.Slack)
+		})
+	}
+}
+
+func TestOneNodeMoreThanCountedStaysWithinTheBound(t *testing.T) {
+	total, now := 0, time.Unix(1000, 0)
+	for range 8 {
+		total += spend(quota.New(bound), now, 7)
+	}
+	assert.LessOrEqual(t, float64(total), bound.Slack)
+}
+
+func TestEveryWindowKeepsTheBound(t *testing.T) {
+	q := quota.New(bound)
+	var sent []time.Time
+	for step := range 400 {
+		now := time.Unix(1000, 0).Add(time.Duration(step) * 100 * time.Millisecond)
+		if q.Again(now, 1) {
+			sent = append(sent, now)
+		}
+	}
+	for _, from := range sent {
+		count := 0
+		for _, at := range sent {
+			if !at.Before(from) && at.Before(from.Add(bound.Window)) {
+				count++
+			}
+		}
+		assert.LessOrEqual(t, float64(count), bound.Slack)
+	}
+	assert.Greater(t, len(sent), 60, "the quota comes back as the window moves on")
+}
+
+func ExampleQuota_Again() {
+	q := quota.New(quota.Bound{Ratio: 0.5, Slack: 0, Window: time.Second})
+	now := time.Unix(100, 0)
+	q.First(now)
+	q.First(now)
+	fmt.Println(q.Again(now, 1), q.Again(now, 1))
+	// Output: true false
+}
--- /dev/null
+++ b/internal/safety/blame/blame_test.go
@@ -0,0 +1,92 @@
+package blame_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/cicadamill/cicadamill/internal/safety/blame"
+)
+
+var start = time.Unix(1000, 0)
+
+// crash breaks a request on a target that then turns out to have died.
+func crash(s *blame.State, now time.Time, request uint64, target string, died time.Duration) {
+	s.Broke(now, request, target)
+	s.Died(now.Add(died), target)
+}
+
+func TestRefused(t *testing.T) {
+	tests := map[string]struct {
+		play func(s *blame.State)
+		want bool
+	}{
+		"three dead targets": {func(s *blame.State) {
+			for i := range 3 {
+				crash(s, start.Add(time.Duration(i)*time.Second), 7, fmt.Sprint("t", i), time.Second)
+			}
+		}, true},
+		"one target three times": {func(s *blame.State) {
+			for i := range 3 {
+				crash(s, start.Add(time.Duration(i)*time.Second), 7, "t", 100*time.Millisecond)
+			}
+		}, true},
+		"two dead targets": {func(s *blame.State) {
+			crash(s, start, 7, "a", time.Second)
+			crash(s, start, 7, "b", time.Second)
+		}, false},
+		"connections broke, targets live": {func(s *blame.State) {
+			for i := range 5 {
+				s.Broke(start, 7, fmt.Sprint("t", i))
+			}
+		}, false},
+		"targets died long after": {func(s *blame.State) {
+			for i := range 3 {
+				crash(s, start, 7, fmt.Sprint("t", i), 20*time.Second)
+			}
+		}, false},
+		"neighbour of another request": {func(s *blame.State) {
+			for i := range 3 {
+				s.Broke(start, uint64(100+i), fmt.Sprint("t", i))
+				crash(s, start, 8, fmt.Sprint("t", i), time.Second)
+			}
+		}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := blame.New()
+			test.play(s)
+			assert.Equal(t, test.want, s.Refused(start.Add(10*time.Second), 7))
+		})
+	}
+}
+
+func TestOtherNodesHear(t *testing.T) {
+	nodes := []*blame.State{blame.New(), blame.New(), blame.New()}
+	for i, s := range nodes {
+		crash(s, start.Add(time.Duration(i)*2*time.Second), 7, fmt.Sprint("t", i), time.Second)
+	}
+	now := start.Add(8 * time.Second)
+	for range 2 {
+		for _, from := range nodes {
+			for _, to := range nodes {
+				to.Hear(now, from.Entries(now))
+			}
+		}
+	}
+	for _, s := range nodes {
+		assert.True(t, s.Refused(now, 7))
+		assert.Len(t, s.Entries(now), 3, "word of one crash counts once")
+	}
+}
+
+func TestCrashesAreForgotten(t *testing.T) {
+	s := blame.New()
+	for i := range 3 {
+		crash(s, start, 7, fmt.Sprint("t", i), time.Second)
+	}
+	assert.False(t, s.Refused(start.Add(6*time.Minute), 7))
+	assert.Empty(t, s.Entries(start.Add(6*time.Minute)))
+}
