--- /dev/null
+++ b/internal/gate/doors/doors_test.go
@@ -0,0 +1,141 @@
+package doors_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadamill/cicadamill/internal/config/local"
+	"github.com/cicadamill/cicadamill/internal/gate/doors"
+)
+
+const wait = 5 * time.Second
+
+// open serves a handler behind doors and returns them with their address.
+func open(t *testing.T, handler http.Handler, limits local.Limits) (*doors.Doors, string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	d := doors.New(ctx, listener, handler, limits)
+	ended := make(chan error, 1)
+	go func(ctx context.Context) { ended <- d.Serve(ctx) }(ctx)
+	t.Cleanup(func() {
+		stop, done := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer done()
+		cancel()
+		<-ended
+		d.Shutdown(stop)
+	})
+	return d, listener.Addr().String()
+}
+
+// ask sends one request on a connection and returns the status line.
+func ask(t *testing.T, conn net.Conn, body string) (string, error) {
+	t.Helper()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(wait)))
+	_, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+	if err != nil {
+		return "", err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return "", err
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	return response.Status, nil
+}
+
+var echo = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	if _, err := io.ReadAll(r.Body); err != nil {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+})
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+func TestNewLimitsHoldForNewConnections(t *testing.T) {
+	d, address := open(t, echo, local.Limits{BodyBytes: 100})
+	old := dial(t, address)
+	status, err := ask(t, old, "body")
+	require.NoError(t, err)
+	assert.Equal(t, "200 OK", status)
+	d.SetLimits(local.Limits{BodyBytes: 2})
+	status, err = ask(t, dial(t, address), "body")
+	require.NoError(t, err)
+	assert.Contains(t, status, "413")
+	status, err = ask(t, old, "body")
+	require.NoError(t, err)
+	assert.Equal(t, "200 OK", status, "a connection keeps the limits that it came under")
+}
+
+// TestCloseCutsNoRequest: closing idle connections again and again never ends one
+// on which a request has been read.
+func TestCloseCutsNoRequest(t *testing.T) {
+	started, release := make(chan struct{}, 1), make(chan struct{})
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		started <- struct{}{}
+		<-release
+		w.WriteHeader(http.StatusOK)
+	})
+	d, address := open(t, handler, local.Limits{})
+	idle, busy := dial(t, address), dial(t, address)
+	answered := make(chan error, 1)
+	go func(context.Context) {
+		_, err := ask(t, busy, "")
+		answered <- err
+	}(t.Context())
+	<-started
+	for range 20 {
+		d.Close()
+	}
+	require.NoError(t, idle.SetReadDeadline(time.Now().Add(wait)))
+	_, err := idle.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF, "an idle connection is closed")
+	close(release)
+	assert.NoError(t, <-answered, "a busy one is not")
+	_, err = net.Dial("tcp", address)
+	assert.Error(t, err, "no new one is taken")
+	require.Eventually(t, func() bool {
+		d.Close()
+		_ = busy.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
+		_, err := busy.Read(make([]byte, 1))
+		return err == io.EOF
+	}, wait, 10*time.Millisecond, "it is closed once it is idle")
+}
+
+// TestHalfARequestKeepsItsConnection: the first bytes of a request are in.
+func TestHalfARequestKeepsItsConnection(t *testing.T) {
+	d, address := open(t, echo, local.Limits{})
+	conn := dial(t, address)
+	_, err := ask(t, conn, "")
+	require.NoError(t, err)
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHo")
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond) // The bytes cross the loopback interface.
+	d.Close()
+	_, err = io.WriteString(conn, "st: a\r\nContent-Length: 0\r\n\r\n")
+	require.NoError(t, err)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(wait)))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, response.StatusCode)
+	_ = response.Body.Close()
+}
--- /dev/null
+++ b/internal/gate/pool/pool_test.go
@@ -0,0 +1,71 @@
+package pool_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadamill/cicadamill/internal/gate/pool"
+	"github.com/cicadamill/cicadamill/internal/gate/roster"
+	"github.com/cicadamill/cicadamill/internal/target/guard"
+)
+
+func send(t *testing.T, p *pool.Pool, target roster.Target) *guard.Once {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+target.Address+"/", nil)
+	require.NoError(t, err)
+	once := guard.New(t.Context().Err)
+	response, err := p.Send(request, target, 4, once)
+	if err == nil {
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+	}
+	return once
+}
+
+func TestConnectionsBelongToOneStart(t *testing.T) {
+	var dials atomic.Int32
+	p := pool.New(func(string) { dials.Add(1) })
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	target := roster.Target{ID: "e", Born: 1, Address: server.Listener.Addr().String()}
+	for range 3 {
+		send(t, p, target)
+	}
+	assert.Equal(t, int32(1), dials.Load(), "connections are kept")
+	target.Born = 2
+	send(t, p, target)
+	assert.Equal(t, int32(2), dials.Load(), "another start gets a new one")
+	p.Keep(map[string]roster.Target{"e": target})
+	send(t, p, target)
+	assert.Equal(t, int32(2), dials.Load())
+	p.Keep(nil)
+	send(t, p, target)
+	assert.Equal(t, int32(3), dials.Load(), "a target off the list keeps none")
+}
+
+func TestUnreachableTargetGetsNoByte(t *testing.T) {
+	once := send(t, pool.New(nil), roster.Target{ID: "e", Address: "127.0.0.1:1"})
+	assert.False(t, once.Left())
+}
+
+func ExamplePool() {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "hello") }))
+	defer server.Close()
+	conns := pool.New(nil)
+	target := roster.Target{ID: "e", Address: server.Listener.Addr().String()}
+	request, _ := http.NewRequest(http.MethodGet, server.URL, nil)
+	response, err := conns.Send(request, target, 2, guard.New(func() error { return nil }))
+	if err == nil {
+		body, _ := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		fmt.Println(string(body))
+	}
+	// Output: hello
+}
--- /dev/null
+++ b/internal/gate/relay/relay_test.go
@@ -0,0 +1,445 @@
+package relay_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/cicadamill/cicadamill/internal/gate/call"
+	"github.com/cicadamill/cicadamill/internal/gate/pick"
+	"github.com/cicadamill/cicadamill/internal/gate/plan"
+	"github.com/cicadamill/cicadamill/internal/gate/pool"
+	"github.com/cicadamill/cicadamill/internal/gate/relay"
+	"github.com/cicadamill/cicadamill/internal/gate/roster"
+	"github.com/cicadamill/cicadamill/internal/route/quota"
+	"github.com/cicadamill/cicadamill/internal/safety/blame"
+)
+
+// codec is a plain wire of the tests' own.
+type codec struct{}
+
+func (codec) Decode(r *http.Request) (call.Call, error) {
+	c := call.Call{
+		ID: r.Header.Get("Id"), Method: r.Method, Host: r.Host, Path: r.RequestURI, Key: r.Header.Get("Key"),
+		ResumeAfter: r.Header.Get("Resume"), Header: relay.EndToEnd(r.Header), Patience: 2 * time.Second,
+	}
+	c.Header.Del("Key")
+	return c, nil
+}
+
+func (codec) Encode(c call.Call, send call.Send) http.Header {
+	header := c.Header.Clone()
+	header.Set("Instance", send.Instance)
+	header.Set("Workspace", send.Workspace)
+	header.Set("Left", strconv.FormatInt(send.Left.Milliseconds(), 10))
+	if send.ResumeAfter != "" {
+		header.Set("Resume", send.ResumeAfter)
+	}
+	return header
+}
+
+func (codec) Head(status int, header http.Header) call.Head {
+	return call.Head{
+		ID: header.Get("Id"), Sealed: header.Get("Seal") != "", NotRun: header.Get("Not-Run") != "",
+		OtherInstance: status == http.StatusMisdirectedRequest,
+	}
+}
+
+func (codec) RetryAfter(pause time.Duration) string { return fmt.Sprint(pause.Seconds()) }
+
+func (codec) EventVersion([]byte) (uint64, bool) { return 0, false }
+
+// target answers one request; the number tells which arrival at any target it is.
+type target func(w http.ResponseWriter, r *http.Request, arrival int)
+
+func seal(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Id", r.Header.Get("Id"))
+	w.Header().Set("Seal", "s")
+}
+
+func good(w http.ResponseWriter, r *http.Request, _ int) {
+	seal(w, r)
+	_, _ = io.WriteString(w, "good")
+}
+
+func failing(w http.ResponseWriter, r *http.Request, _ int) {
+	seal(w, r)
+	w.WriteHeader(http.StatusInternalServerError)
+	_, _ = io.WriteString(w, "failed")
+}
+
+func full(w http.ResponseWriter, r *http.Request, _ int) {
+	w.Header().Set("Id", r.Header.Get("Id"))
+	w.Header().Set("Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func reset(w http.ResponseWriter, _ *http.Request, _ int) {
+	conn, _, _ := w.(http.Hijacker).Hijack()
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	_ = conn.Close()
+}
+
+// raw writes bytes and closes the connection.
+func raw(format string) target {
+	return func(w http.ResponseWriter, r *http.Request, _ int) {
+		conn, _, _ := w.(http.Hijacker).Hijack()
+		_, _ = fmt.Fprintf(conn, format, r.Header.Get("Id"))
+		_ = conn.Close()
+	}
+}
+
+func crossed(w http.ResponseWriter, _ *http.Request, _ int) {
+	w.Header().Set("Id", "another")
+	w.Header().Set("Seal", "s")
+	_, _ = io.WriteString(w, "not yours")
+}
+
+func unsealed(w http.ResponseWriter, r *http.Request, _ int) {
+	w.Header().Set("Id", r.Header.Get("Id"))
+	_, _ = io.WriteString(w, "unsealed")
+}
+
+func hanging(_ http.ResponseWriter, r *http.Request, _ int) { <-r.Context().Done() }
+
+const truncated = "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Length: 100\r\n\r\nshort"
+
+// first behaves one way at the first arrival and another way later.
+func first(then, later target) target {
+	return func(w http.ResponseWriter, r *http.Request, arrival int) {
+		if arrival == 1 {
+			then(w, r, arrival)
+			return
+		}
+		later(w, r, arrival)
+	}
+}
+
+// events streams numbered events after the one that the caller has, up to last,
+// and breaks off in the middle of the event cut; zero means it does not.
+func events(last, cut int) target {
+	return func(w http.ResponseWriter, r *http.Request, _ int) {
+		seal(w, r)
+		from, _ := strconv.Atoi(r.Header.Get("Resume"))
+		for i := from + 1; i <= last; i++ {
+			if i == cut {
+				_, _ = fmt.Fprintf(w, "id: %d\nda", i)
+				_ = http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i)
+			_ = http.NewResponseController(w).Flush()
+		}
+	}
+}
+
+type world struct {
+	server   *httptest.Server
+	arrivals atomic.Int32
+	mu       sync.Mutex
+	seen     []http.Header
+	ended    chan struct{}
+	blame    *blame.State
+	nodes    int
+}
+
+func (w *world) Nodes() int { return w.nodes }
+
+// end tells that a target's work has ended, if somebody waits for it.
+func (w *world) end() {
+	select {
+	case w.ended <- struct{}{}:
+	default:
+	}
+}
+
+type option func(*relay.Options)
+
+// newWorld runs a handler before some targets of one service.
+func newWorld(t *testing.T, targets []target, options ...option) *world {
+	t.Helper()
+	w := &world{ended: make(chan struct{}, 16), blame: blame.New(), nodes: 1}
+	list := map[string]roster.Target{}
+	for i, serve := range targets {
+		address := "127.0.0.1:1"
+		if serve != nil {
+			server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+				defer w.end()
+				_, _ = io.Copy(io.Discard, r.Body)
+				w.mu.Lock()
+				w.seen = append(w.seen, r.Header.Clone())
+				w.mu.Unlock()
+				serve(rw, r, int(w.arrivals.Add(1)))
+			}))
+			t.Cleanup(server.Close)
+			address = server.Listener.Addr().String()
+		}
+		id := fmt.Sprint("t", i)
+		list[id] = roster.Target{ID: id, Born: 1, Service: "app", Address: address, Slots: 8}
+	}
+	picks := pick.New(pick.Options{Seed: 1})
+	p := testPlan()
+	picks.SetPlan(p)
+	picks.SetTargets(list)
+	o := relay.Options{
+		Codec: codec{}, Plan: func() *plan.Plan { return p }, Picks: picks, Blame: w.blame, Lock: &sync.Mutex{}, Pool: pool.New(nil),
+		Fleet: w, Bound: quota.Bound{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, Leave: time.Second,
+		Seen: func(string, string, uint64) {}, Scope: tally.NoopScope, Logger: hclog.NewNullLogger(),
+	}
+	for _, apply := range options {
+		apply(&o)
+	}
+	w.server = httptest.NewServer(relay.New(o))
+	t.Cleanup(w.server.Close)
+	return w
+}
+
+func testPlan() *plan.Plan {
+	route := func(name string, kind plan.Kind, attempts int) plan.Route {
+		return plan.Route{
+			Name: name, Host: "a.example", Prefix: "/" + name + "/", Kind: kind, Splits: []plan.Split{{Service: "app", Weight: 1}},
+			Timeout: 900 * time.Millisecond, Objective: 300 * time.Millisecond, Attempts: attempts,
+		}
+	}
+	resumable := route("resume", plan.Stream, 2)
+	resumable.Resumable = true
+	open := route("open", plan.Repeatable, 1)
+	open.Anonymous = true
+	return plan.New(plan.Plan{Version: 1, HasWorkspaces: true, Services: map[string]plan.Service{"app": {Name: "app", MaxConns: 50}}},
+		[]plan.Route{route("safe", plan.Repeatable, 2), route("once", plan.Once, 1), route("stream", plan.Stream, 1), resumable, open},
+		map[string]plan.Workspace{"k": {Name: "members", Priority: -1}})
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (w *world) ask(t *testing.T, path string) reply {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, w.server.URL+path, strings.NewReader("body"))
+	require.NoError(t, err)
+	request.Host = "a.example"
+	request.Header.Set("Id", "r1")
+	request.Header.Set("Key", "k")
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+}
+
+func TestAnswers(t *testing.T) {
+	tests := map[string]struct {
+		path     string
+		targets  []target
+		status   int
+		body     string
+		sealed   bool
+		arrivals int
+	}{
+		"whole answer":                          {"/safe/x", []target{good}, 200, "good", true, 1},
+		"repeatable, failed once":               {"/safe/x", []target{first(failing, good), first(failing, good)}, 200, "good", true, 2},
+		"repeatable, failed as often as may be": {"/safe/x", []target{failing, failing, failing}, 500, "failed", true, 2},
+		"repeatable, reset":                     {"/safe/x", []target{first(reset, good), first(reset, good)}, 200, "good", true, 2},
+		"repeatable, truncated":                 {"/safe/x", []target{first(raw(truncated), good), first(raw(truncated), good)}, 200, "good", true, 2},
+		"repeatable, garbled":                   {"/safe/x", []target{first(raw("%s?!\r\n\r\n"), good), first(raw("%s?!\r\n\r\n"), good)}, 200, "good", true, 2},
+		"repeatable, crossed":                   {"/safe/x", []target{first(crossed, good), first(crossed, good)}, 200, "good", true, 2},
+		"once, failed":                          {"/once/x", []target{failing, good}, 0, "", true, 1},
+		"once, reset":                           {"/once/x", []target{reset, reset}, 502, "", false, 1},
+		"once, truncated":                       {"/once/x", []target{raw(truncated), raw(truncated)}, 502, "", false, 1},
+		"once, crossed":                         {"/once/x", []target{crossed, crossed}, 502, "", false, 1},
+		"once, unsealed":                        {"/once/x", []target{unsealed, unsealed}, 502, "", false, 1},
+		"once, refused by a full target":        {"/once/x", []target{first(full, good), first(full, good)}, 200, "good", true, 2},
+		"once, one target not there":            {"/once/x", []target{nil, good}, 200, "good", true, 1},
+		"all refuse":                            {"/once/x", []target{full, full}, 503, "", false, 2},
+		"none there":                            {"/once/x", []target{nil, nil}, 503, "", false, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, test.targets)
+			got := w.ask(t, test.path)
+			require.NoError(t, got.err)
+			if test.status != 0 {
+				assert.Equal(t, test.status, got.status)
+			}
+			if test.body != "" {
+				assert.Equal(t, test.body, got.body)
+			}
+			assert.Equal(t, test.sealed, got.header.Get("Seal") != "")
+			assert.Equal(t, test.arrivals, int(w.arrivals.Load()))
+			if got.status == http.StatusServiceUnavailable {
+				assert.NotEmpty(t, got.header.Get("Retry-After"), "a client is told when to come back")
+			}
+		})
+	}
+}
+
+func TestStreams(t *testing.T) {
+	whole := "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\nid: 4\ndata: x\n\n"
+	tests := map[string]struct {
+		path     string
+		target   target
+		want     string
+		complete bool
+		arrivals int
+	}{
+		"whole":                             {"/stream/x", events(4, 0), whole, true, 1},
+		"resumed in the middle of an event": {"/resume/x", first(events(4, 3), events(4, 0)), whole, true, 2},
+		"resumed before the first event":    {"/resume/x", first(events(4, 1), events(4, 0)), whole, true, 2},
+		"broken as often as may be":         {"/resume/x", first(events(4, 2), events(4, 3)), whole[:30], false, 2},
+		"not resumable":                     {"/stream/x", events(4, 3), whole[:30], false, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, []target{test.target, test.target})
+			got := w.ask(t, test.path)
+			assert.Equal(t, test.want, got.body)
+			assert.Equal(t, test.complete, got.err == nil, "%v", got.err)
+			assert.Equal(t, test.arrivals, int(w.arrivals.Load()))
+		})
+	}
+}
+
+func TestWhoMayCall(t *testing.T) {
+	w := newWorld(t, []target{good})
+	tests := map[string]struct {
+		path, key, host string
+		status          int
+	}{
+		"known key":       {"/safe/x", "k", "a.example", 200},
+		"unknown key":     {"/safe/x", "q", "a.example", 401},
+		"no key":          {"/safe/x", "", "a.example", 401},
+		"anonymous route": {"/open/x", "", "a.example", 200},
+		"unknown path":    {"/none/x", "k", "a.example", 404},
+		"unknown host":    {"/safe/x", "k", "b.example", 404},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			request := httptest.NewRequest(http.MethodGet, w.server.URL+test.path, nil)
+			request.RequestURI, request.Host = "", test.host
+			request.Header.Set("Id", "r")
+			if test.key != "" {
+				request.Header.Set("Key", test.key)
+			}
+			response, err := http.DefaultTransport.RoundTrip(request)
+			require.NoError(t, err)
+			_ = response.Body.Close()
+			assert.Equal(t, test.status, response.StatusCode)
+		})
+	}
+	for _, header := range w.seen {
+		assert.Empty(t, header.Get("Key"), "no target gets a key")
+		assert.NotEmpty(t, header.Get("Instance"), "each call names the instance that is meant")
+	}
+}
+
+func TestNoConfigurationYet(t *testing.T) {
+	w := newWorld(t, []target{good}, func(o *relay.Options) { o.Plan = func() *plan.Plan { return nil } })
+	assert.Equal(t, 503, w.ask(t, "/safe/x").status)
+}
+
+func TestFinalAnswerByTheRoutesTimeout(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/once/x", "/stream/x"} {
+		t.Run(path, func(t *testing.T) {
+			w := newWorld(t, []target{hanging, hanging})
+			began := time.Now()
+			got := w.ask(t, path)
+			require.NoError(t, got.err)
+			assert.Contains(t, []int{502, 504}, got.status, "it may have run")
+			assert.Less(t, time.Since(began), 1400*time.Millisecond)
+		})
+	}
+}
+
+func TestTargetEndsWhenTheClientLeaves(t *testing.T) {
+	w := newWorld(t, []target{hanging})
+	ctx, cancel := context.WithCancel(t.Context())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, w.server.URL+"/stream/x", strings.NewReader("body"))
+	require.NoError(t, err)
+	request.Host = "a.example"
+	request.Header.Set("Key", "k")
+	request.Header.Set("Id", "r")
+	left := make(chan error, 1)
+	go func(context.Context) {
+		_, err := http.DefaultTransport.RoundTrip(request)
+		left <- err
+	}(ctx)
+	require.Eventually(t, func() bool { return w.arrivals.Load() == 1 }, 5*time.Second, time.Millisecond)
+	cancel()
+	require.Error(t, <-left)
+	select {
+	case <-w.ended:
+	case <-time.After(500 * time.Millisecond):
+		assert.Fail(t, "the target still works half a second later")
+	}
+}
+
+func TestSecondSendingsKeepTheQuota(t *testing.T) {
+	w := newWorld(t, []target{failing, failing}, func(o *relay.Options) { o.Bound.Slack = 10 })
+	for range 30 {
+		w.ask(t, "/safe/x")
+	}
+	assert.LessOrEqual(t, int(w.arrivals.Load()), 30+6+10)
+	assert.Greater(t, int(w.arrivals.Load()), 32)
+}
+
+func TestCrashRequestReachesNoTarget(t *testing.T) {
+	w := newWorld(t, []target{reset, reset})
+	for i := range 3 {
+		w.ask(t, "/once/x")
+		w.ask(t, "/once/x")
+		died := time.Now().Add(time.Duration(i) * time.Second)
+		w.blame.Died(died, "t0")
+		w.blame.Died(died, "t1")
+	}
+	before := w.arrivals.Load()
+	got := w.ask(t, "/once/x")
+	assert.Equal(t, 503, got.status)
+	assert.Equal(t, "crashRequest", got.header.Get("X-Cicadamill-Code"))
+	assert.Equal(t, before, w.arrivals.Load())
+	assert.NotEqual(t, "crashRequest", w.ask(t, "/safe/x").header.Get("X-Cicadamill-Code"), "another request is served")
+}
+
+func TestPathReachesTheTargetUnchanged(t *testing.T) {
+	var line atomic.Value
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	served := make(chan error, 1)
+	go func(context.Context) {
+		conn, err := listener.Accept()
+		if err == nil {
+			text, _ := bufio.NewReader(conn).ReadString('\n')
+			line.Store(text)
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\nContent-Length: 0\r\n\r\n")
+			_ = conn.Close()
+		}
+		served <- err
+	}(t.Context())
+	w := newWorld(t, nil, func(o *relay.Options) {
+		o.Picks.SetTargets(map[string]roster.Target{"t": {ID: "t", Service: "app", Address: listener.Addr().String(), Slots: 1}})
+	})
+	assert.Equal(t, 200, w.ask(t, "/safe/a%2Fb//c/../d?q=%20&&x").status)
+	require.NoError(t, <-served)
+	assert.Equal(t, "POST /safe/a%2Fb//c/../d?q=%20&&x HTTP/1.1\r\n", line.Load())
+}
