--- a/internal/gate/relay/answer.go
+++ b/internal/gate/relay/answer.go
@@ -136,8 +136,10 @@
 		s.end = pick.Whole
 		return done{status: response.StatusCode}
 	default:
-		// What is whole reaches the client also if nothing follows.
-		_ = http.NewResponseController(w).Flush()
+		if s.job.stream.begun {
+			// What is whole reaches the client also if nothing follows.
+			_ = http.NewResponseController(w).Flush()
+		}
 		s.end = pick.Failed
 		return broken{reason: "stream broken off: " + reasonOf(err), lost: isLost(err)}
 	}
--- a/internal/gate/relay/relay_test.go
+++ b/internal/gate/relay/relay_test.go
@@ -13,6 +13,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -20,6 +21,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/cicadamill/cicadamill/internal/entry/fault"
 	"github.com/cicadamill/cicadamill/internal/gate/call"
 	"github.com/cicadamill/cicadamill/internal/gate/pick"
 	"github.com/cicadamill/cicadamill/internal/gate/plan"
@@ -216,12 +218,14 @@
 			Timeout: 900 * time.Millisecond, Objective: 300 * time.Millisecond, Attempts: attempts,
 		}
 	}
+	lost := route("lost", plan.Repeatable, 1)
+	lost.Splits[0].Service = "none"
 	resumable := route("resume", plan.Stream, 2)
 	resumable.Resumable = true
 	open := route("open", plan.Repeatable, 1)
 	open.Anonymous = true
 	return plan.New(plan.Plan{Version: 1, HasWorkspaces: true, Services: map[string]plan.Service{"app": {Name: "app", MaxConns: 50}}},
-		[]plan.Route{route("safe", plan.Repeatable, 2), route("once", plan.Once, 1), route("stream", plan.Stream, 1), resumable, open},
+		[]plan.Route{route("safe", plan.Repeatable, 2), route("once", plan.Once, 1), route("stream", plan.Stream, 1), resumable, open, lost},
 		map[string]plan.Workspace{"k": {Name: "members", Priority: -1}})
 }
 
@@ -314,6 +318,7 @@
 			w := newWorld(t, []target{test.target, test.target})
 			got := w.ask(t, test.path)
 			assert.Equal(t, test.want, got.body)
+			assert.Equal(t, "s", got.header.Get("Seal"), "the head is the first target's")
 			assert.Equal(t, test.complete, got.err == nil, "%v", got.err)
 			assert.Equal(t, test.arrivals, int(w.arrivals.Load()))
 		})
@@ -325,13 +330,15 @@
 	tests := map[string]struct {
 		path, key, host string
 		status          int
+		code            string
 	}{
-		"known key":       {"/safe/x", "k", "a.example", 200},
-		"unknown key":     {"/safe/x", "q", "a.example", 401},
-		"no key":          {"/safe/x", "", "a.example", 401},
-		"anonymous route": {"/open/x", "", "a.example", 200},
-		"unknown path":    {"/none/x", "k", "a.example", 404},
-		"unknown host":    {"/safe/x", "k", "b.example", 404},
+		"known key":       {"/safe/x", "k", "a.example", 200, ""},
+		"unknown key":     {"/safe/x", "q", "a.example", 401, "unknownKey"},
+		"no key":          {"/safe/x", "", "a.example", 401, "unknownKey"},
+		"anonymous route": {"/open/x", "", "a.example", 200, ""},
+		"unknown path":    {"/none/x", "k", "a.example", 404, "noRoute"},
+		"unknown host":    {"/safe/x", "k", "b.example", 404, "noRoute"},
+		"unknown service": {"/lost/x", "k", "a.example", 503, "noService"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -345,6 +352,7 @@
 			require.NoError(t, err)
 			_ = response.Body.Close()
 			assert.Equal(t, test.status, response.StatusCode)
+			assert.Equal(t, test.code, response.Header.Get(fault.CodeHeader))
 		})
 	}
 	for _, header := range w.seen {
@@ -355,7 +363,51 @@
 
 func TestNoConfigurationYet(t *testing.T) {
 	w := newWorld(t, []target{good}, func(o *relay.Options) { o.Plan = func() *plan.Plan { return nil } })
-	assert.Equal(t, 503, w.ask(t, "/safe/x").status)
+	got := w.ask(t, "/safe/x")
+	assert.Equal(t, 503, got.status)
+	assert.Equal(t, "noConfiguration", got.header.Get(fault.CodeHeader))
+}
+
+// TestRefusalsOfTheHostsOwn: each says at once that the request has not run.
+func TestRefusalsOfTheHostsOwn(t *testing.T) {
+	broken := func(w *world) *http.Request {
+		r := httptest.NewRequest(http.MethodPost, "/safe/x", iotest.ErrReader(io.ErrUnexpectedEOF))
+		return r
+	}
+	tests := map[string]struct {
+		targets []target
+		request func(w *world) *http.Request
+		change  option
+		code    string
+	}{
+		"body broken off": {[]target{good}, broken, nil, "bodyBroken"},
+		"no time left": {[]target{good}, nil, func(o *relay.Options) {
+			p := plan.New(plan.Plan{Version: 1, Services: map[string]plan.Service{"app": {Name: "app"}}},
+				[]plan.Route{{Host: "a.example", Prefix: "/", Splits: []plan.Split{{Service: "app", Weight: 1}}, Timeout: 5 * time.Millisecond, Objective: time.Second}}, nil)
+			o.Plan = func() *plan.Plan { return p }
+			o.Picks.SetEmptied(map[string]bool{"t0": true})
+		}, "tooLate"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var options []option
+			if test.change != nil {
+				options = append(options, test.change)
+			}
+			w := newWorld(t, test.targets, options...)
+			r := httptest.NewRequest(http.MethodPost, "/safe/x", nil)
+			if test.request != nil {
+				r = test.request(w)
+			}
+			r.Host = "a.example"
+			r.Header.Set("Id", "r")
+			r.Header.Set("Key", "k")
+			recorder := httptest.NewRecorder()
+			w.server.Config.Handler.ServeHTTP(recorder, r)
+			assert.Equal(t, test.code, recorder.Header().Get(fault.CodeHeader))
+			assert.Zero(t, w.arrivals.Load())
+		})
+	}
 }
 
 func TestFinalAnswerByTheRoutesTimeout(t *testing.T) {
@@ -415,9 +467,9 @@
 	before := w.arrivals.Load()
 	got := w.ask(t, "/once/x")
 	assert.Equal(t, 503, got.status)
-	assert.Equal(t, "crashRequest", got.header.Get("X-Cicadamill-Code"))
+	assert.Equal(t, "crashRequest", got.header.Get(fault.CodeHeader))
 	assert.Equal(t, before, w.arrivals.Load())
-	assert.NotEqual(t, "crashRequest", w.ask(t, "/safe/x").header.Get("X-Cicadamill-Code"), "another request is served")
+	assert.NotEqual(t, "crashRequest", w.ask(t, "/safe/x").header.Get(fault.CodeHeader), "another request is served")
 }
 
 func TestPathReachesTheTargetUnchanged(t *testing.T) {
