--- a/cmd/cicadamill/config.go
+++ b/cmd/cicadamill/config.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"encoding/json"
@@ -14,6 +15,7 @@
 	"github.com/cicadamill/cicadamill/internal/config/local"
 	"github.com/cicadamill/cicadamill/internal/config/site"
 	"github.com/cicadamill/cicadamill/internal/config/text"
+	"github.com/cicadamill/cicadamill/platform"
 )
 
 // configCommand holds the commands that concern the operators' configuration.
@@ -34,6 +36,7 @@
 type checkCommand struct {
 	File     string `arg:"positional" help:"configuration text" placeholder:"FILE"`
 	Settings string `arg:"--settings" help:"check a node's settings" placeholder:"FILE"`
+	Host     string `arg:"--host" help:"check the settings file that a platform gives a host" placeholder:"FILE"`
 	JSON     bool   `arg:"--json" help:"print JSON"`
 }
 
@@ -50,13 +53,13 @@
 
 // Run implements [command].
 func (c *checkCommand) Run(_ context.Context, out io.Writer) error {
-	if c.File == "" && c.Settings == "" {
-		return &exitError{Code: exitUsage, Err: errors.New("name a FILE to check, or --settings FILE")}
+	if c.File == "" && c.Settings == "" && c.Host == "" {
+		return &exitError{Code: exitUsage, Err: errors.New("name a FILE to check, --settings FILE or --host FILE")}
 	}
 	for _, check := range []struct {
 		file string
 		read func([]byte) (checkReply, error)
-	}{{c.File, checkSite}, {c.Settings, checkLocal}} {
+	}{{c.File, checkSite}, {c.Settings, checkLocal}, {c.Host, checkHost}} {
 		if check.file == "" {
 			continue
 		}
@@ -106,6 +109,25 @@
 	return checkReply{Site: config.Site, Engines: len(config.Engines), Workspaces: len(config.Workspaces)}, err
 }
 
+// checkHost checks the settings file that a platform gives a host.
+func checkHost(source []byte) (checkReply, error) {
+	settings, problems := platform.ParseSettings(bytes.NewReader(source))
+	reply := checkReply{Node: settings.Host.Name}
+	var found text.Error
+	for _, problem := range problems {
+		issue := text.Issue{Column: 1, Message: problem.Error()}
+		var line *platform.SettingsError
+		if errors.As(problem, &line) {
+			issue = text.Issue{Line: line.Line, Column: 1, Path: line.Field, Message: line.Reason}
+		}
+		found.Issues = append(found.Issues, issue)
+	}
+	if len(found.Issues) > 0 {
+		return reply, &found
+	}
+	return reply, nil
+}
+
 func checkLocal(source []byte) (checkReply, error) {
 	settings, err := local.Parse(source)
 	return checkReply{Node: settings.Name}, err
--- a/cmd/cicadamill/config_test.go
+++ b/cmd/cicadamill/config_test.go
@@ -127,6 +127,9 @@
 		"json":          {[]string{"config", "check", "--json", "../../examples/ashaiman/configuration.jsonc"}, exitOK, `"engines":13`},
 		"bad":           {[]string{"config", "check", "config_test.go"}, exitInvalid, "1 error in the configuration"},
 		"bad as JSON":   {[]string{"config", "check", "--json", "config_test.go"}, exitInvalid, `"issues":[{"line":1,`},
+		"host":          {[]string{"config", "check", "--host", "../../deploy/examples/host.conf"}, exitOK, "sound settings of node front-east-1"},
+		"broken host":   {[]string{"config", "check", "--host", "../../deploy/examples/broken.conf"}, exitInvalid, "2:1: bounds.graceS: not a number from 0 up: eight"},
+		"cut short":     {[]string{"config", "check", "--json", "--host", "../../deploy/examples/broken.conf"}, exitInvalid, `{"line":3,"column":1,"message":"the line has no = and may be cut short"}`},
 		"nothing":       {[]string{"config", "check"}, exitUsage, "name a FILE"},
 		"no command":    {[]string{"config"}, exitUsage, "name one of config check"},
 	}
