Take the ages of namings before the store's clock

Cause: the holder was suspended between reading the store's clock and working out how long ago weights had been named, and wrote them down as 7 s older than they were.

--- /dev/null
+++ b/internal/gate/host/host_test.go
@@ -0,0 +1,161 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadamill/cicadamill/internal/gate/desk"
+	"github.com/cicadamill/cicadamill/internal/gate/feed"
+	"github.com/cicadamill/cicadamill/internal/gate/peers"
+	"github.com/cicadamill/cicadamill/internal/gate/pick"
+	"github.com/cicadamill/cicadamill/internal/gate/plan"
+	"github.com/cicadamill/cicadamill/internal/gate/roster"
+	"github.com/cicadamill/cicadamill/internal/infra/table"
+	"github.com/cicadamill/cicadamill/internal/watch/spool"
+)
+
+// store plays the platform's store with a steady clock of its own.
+type store struct {
+	began time.Time
+	pause time.Duration
+	rows  map[string][]byte
+}
+
+func (s *store) List(context.Context, string) (feed.Page, error) {
+	page := feed.Page{Version: 1, Clock: time.Since(s.began)}
+	for key, value := range s.rows {
+		page.Rows = append(page.Rows, feed.Row{Key: key, Value: value, Version: 1})
+	}
+	time.Sleep(s.pause)
+	return page, nil
+}
+
+func (s *store) Watch(ctx context.Context, _ string, _ uint64, _ time.Duration) (feed.Page, error) {
+	<-ctx.Done()
+	return feed.Page{}, ctx.Err()
+}
+
+func (s *store) Commit(_ context.Context, txn table.Txn) error {
+	for _, put := range txn.Puts {
+		s.rows[put.Key] = put.Value
+	}
+	return nil
+}
+
+func (s *store) Get(context.Context, string) (table.Row, error) { return table.Row{}, nil }
+
+// rowsOf is the store's side for the product's own rows.
+type rowsOf struct{ *store }
+
+func (r rowsOf) List(context.Context, string, string, int) ([]table.Row, error) { return nil, nil }
+
+type noEngines struct{ desk.Engines }
+
+func newHost(s *store) *Host {
+	return New(Settings{Name: "a", DataCentre: "east", Bounds: Bounds{NewWeights: 15 * time.Second, Lease: 3 * time.Second, Grace: 8 * time.Second}},
+		Platform{
+			Source: s, Table: rowsOf{s}, Engines: noEngines{}, OwnTable: "own", OperatorTable: "op", TargetTable: "servers",
+			Operator: func(row feed.Row) (News, error) {
+				if row.Key == "bad" {
+					return nil, &json.SyntaxError{}
+				}
+				return NewPlan{Plan: plan.New(plan.Plan{Version: row.Version, Services: map[string]plan.Service{}}, nil, nil)}, nil
+			},
+			Target: func(_ time.Time, row feed.Row) roster.Change {
+				return roster.Change{ID: row.Key, Version: row.Version, Target: &roster.Target{ID: row.Key, Service: "lm", Versions: map[string]uint64{"m": 1}}}
+			},
+		}, hclog.NewNullLogger(), spool.New(nil))
+}
+
+// TestPauseMakesNoNamingOlder: the holder of the lease is suspended between the
+// calls with which it keeps when weights were named. Hosts that read it must not
+// take the weights for older than they are: they would refuse every request.
+func TestPauseMakesNoNamingOlder(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"no pause": 0, "suspended for 7 s": 7 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &store{began: time.Now(), rows: map[string][]byte{}, pause: pause}
+				holder := newHost(s)
+				defer func() { _ = holder.meter.Close() }()
+				time.Sleep(20 * time.Second)
+				holder.noteWeights("m", pick.Named{Version: 2})
+				named := time.Now()
+				require.NoError(t, holder.keepNaming(t.Context(), "m"))
+				s.pause = 0
+				reader := newHost(s)
+				defer func() { _ = reader.meter.Close() }()
+				require.NoError(t, reader.readRows(t.Context()))
+				got := reader.namings("m")
+				require.Len(t, got, 1)
+				assert.LessOrEqual(t, got[0].Age, time.Since(named))
+				assert.GreaterOrEqual(t, got[0].Age, time.Since(named)-pause)
+			})
+		})
+	}
+}
+
+func TestConfigurationsOnlyRise(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHost(&store{began: time.Now(), rows: map[string][]byte{}})
+		defer func() { _ = h.meter.Close() }()
+		h.operatorRows(feed.Page{Rows: []feed.Row{{Key: "config", Version: 9}, {Key: "bad", Version: 10}}})
+		h.operatorRows(feed.Page{Rows: []feed.Row{{Key: "config", Version: 4}}})
+		assert.Equal(t, uint64(9), h.plan.Load().Version, "an unreadable row changes nothing, an older one neither")
+	})
+}
+
+func TestReadiness(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHost(&store{began: time.Now(), rows: map[string][]byte{}})
+		defer func() { _ = h.meter.Close() }()
+		ready := func() int {
+			recorder := httptest.NewRecorder()
+			h.serveReady(recorder, httptest.NewRequest(http.MethodGet, "/", nil))
+			return recorder.Code
+		}
+		assert.Equal(t, 503, ready())
+		h.operatorRows(feed.Page{Rows: []feed.Row{{Key: "config", Version: 1}}})
+		assert.Equal(t, 503, ready(), "the targets are not known yet")
+		h.targetReset(feed.Page{Version: 2, Rows: []feed.Row{{Key: "e", Version: 2}}})
+		assert.Equal(t, 200, ready())
+		h.stop.begun.Store(true)
+		h.ready.Store(false)
+		h.targetChange(feed.Page{Version: 3})
+		assert.Equal(t, 503, ready(), "a host that stops does not become ready again")
+	})
+}
+
+// TestStoreAwayLetsReplacedWeightsAnswer: a host that the store has left can't
+// tell whether newer weights could be loaded.
+func TestStoreAwayLetsReplacedWeightsAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHost(&store{began: time.Now(), rows: map[string][]byte{}})
+		defer func() { _ = h.meter.Close() }()
+		assert.Equal(t, 15*time.Second-newWeightsMargin, h.oldestAge())
+	})
+}
+
+func TestPeersWordOfWeightsCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHost(&store{began: time.Now(), rows: map[string][]byte{}})
+		defer func() { _ = h.meter.Close() }()
+		h.targetReset(feed.Page{Version: 1, Rows: []feed.Row{{Key: "e", Version: 1}}})
+		h.hear(peers.Message{
+			From: "b", Wanted: map[string]pick.Named{"m": {Version: 2, Age: time.Second}},
+			Report: pick.Report{Versions: map[string]pick.Seen{"e": {Model: "m", Version: 2}}},
+		})
+		assert.Equal(t, map[string]uint64{"m": 2}, h.wanted())
+		assert.Equal(t, uint64(2), h.compose().Report.Versions["e"].Version)
+		h.targetReset(feed.Page{Version: 5, Rows: []feed.Row{{Key: "e", Version: 5}}})
+		assert.Equal(t, uint64(2), h.compose().Report.Versions["e"].Version, "the list lags behind what was seen")
+	})
+}
--- a/internal/gate/host/rows.go
+++ b/internal/gate/host/rows.go
@@ -123,13 +123,16 @@
 }
 
 // keepNaming writes when weights were named; the host that gives orders does.
+// The ages are taken before the clock is read: a pause in between must not make
+// them older than they are, or hosts that read them would let no engine answer.
 func (h *Host) keepNaming(ctx context.Context, model string) error {
+	known := h.namings(model)
 	page, err := h.platform.Source.List(ctx, h.platform.OwnTable)
 	if err != nil {
 		return err
 	}
 	var kept namings
-	for _, named := range h.namings(model) {
+	for _, named := range known {
 		kept.Named = append(kept.Named, naming{Version: named.Version, ClockMillis: (page.Clock - named.Age).Milliseconds()})
 	}
 	kept.Named = kept.Named[max(0, len(kept.Named)-maxNamed):]
