--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -38,7 +38,7 @@
 }
 
 func TestNamedTestsExist(t *testing.T) {
-	code := joined(read(t, "internal", "_test.go")) + joined(read(t, "cmd", "_test.go")) + joined(read(t, "docs", "_test.go"))
+	code := joined(read(t, "internal", "_test.go")) + joined(read(t, "cmd", "_test.go")) + joined(read(t, "docs", "_test.go")) + joined(read(t, "platform", "_test.go"))
 	named := regexp.MustCompile("`(?:[a-z/]+\\.)?((?:Test|Fuzz|Benchmark)[A-Z]\\w*)`")
 	for path, text := range read(t, "docs", ".md") {
 		for _, match := range named.FindAllStringSubmatch(text, -1) {
