--- a/internal/gate/caches/caches.go
+++ b/internal/gate/caches/caches.go
@@ -49,6 +49,14 @@
 	Parts []pick.Cached
 }
 
+// Position is how far a cache's events have been read.
+type Position struct {
+	// Start identifies the start of the cache.
+	Start uint64 `json:"start"`
+	// Next is where to go on.
+	Next uint64 `json:"next"`
+}
+
 // Client reads what caches tell. It is implemented by the adapter to a platform.
 type Client interface {
 	// Events returns what has changed from a number on, after at most the wait.
@@ -67,8 +75,13 @@
 	Sources func() []Source
 	// Nodes returns the names of the other nodes that are up.
 	Nodes func() []string
-	// Learn takes what a cache tells.
-	Learn func(name string, parts []pick.Cached)
+	// Learn takes what a cache tells; whole is true when it begins with nothing.
+	Learn func(name string, parts []pick.Cached, whole bool)
+	// Position returns how far some node has read a cache's events, so that a
+	// node which takes the cache over need not read all again.
+	Position func(name string) (Position, bool)
+	// Reached is told how far this node has read.
+	Reached func(name string, at Position)
 	// Forget is told of a cache that is empty or not known any more.
 	Forget func(name string)
 	// Scope takes the metrics.
@@ -150,21 +163,22 @@
 
 // follow reads one cache's events until the context ends.
 func (c *Caches) follow(ctx context.Context, source Source) {
-	from, start := uint64(0), uint64(0)
+	at, _ := c.options.Position(source.Name)
 	for ctx.Err() == nil {
-		events, err := c.read(ctx, source, from)
+		events, whole, err := c.read(ctx, source, at.Next)
 		pause := gatherTime
 		switch {
 		case err != nil:
 			c.options.Scope.Counter("cache_events_failed").Inc(1)
 			pause = retryTime
-		case start != 0 && events.Start != start:
+		case at.Start != 0 && events.Start != at.Start:
 			c.options.Forget(source.Name)
-			from, start = 0, events.Start
+			at = Position{Start: events.Start}
 			continue
 		default:
-			c.options.Learn(source.Name, events.Parts)
-			from, start = events.Next, events.Start
+			c.options.Learn(source.Name, events.Parts, whole)
+			at = Position{Start: events.Start, Next: events.Next}
+			c.options.Reached(source.Name, at)
 		}
 		select {
 		case <-ctx.Done():
@@ -174,12 +188,12 @@
 }
 
 // read returns the next events, or all that is held when some were lost.
-func (c *Caches) read(ctx context.Context, source Source, from uint64) (Events, error) {
+func (c *Caches) read(ctx context.Context, source Source, from uint64) (next Events, whole bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, eventsWait+callTimeout)
 	defer cancel()
 	events, err := c.options.Client.Events(ctx, source, from, eventsWait)
 	if err != nil || !events.Lost {
-		return events, err
+		return events, from == 0, err
 	}
 	c.options.Logger.Info("cache events lost, reading all that is held", "cache", source.Name, "from", from)
 	c.options.Scope.Counter("cache_events_lost").Inc(1)
@@ -187,5 +201,5 @@
 	if err == nil {
 		c.options.Forget(source.Name)
 	}
-	return held, err
+	return held, true, err
 }
--- a/internal/gate/caches/caches_test.go
+++ b/internal/gate/caches/caches_test.go
@@ -22,7 +22,9 @@
 	answers []caches.Events
 	err     error
 	from    []uint64
-	lists   int
+	// position is where another node was, reached where this one has got to.
+	position, reached caches.Position
+	lists             int
 }
 
 func (c *cache) Events(ctx context.Context, _ caches.Source, from uint64, wait time.Duration) (caches.Events, error) {
@@ -56,8 +58,10 @@
 	t.Helper()
 	service := caches.New(caches.Options{
 		Name: name, Client: c, Nodes: func() []string { return others },
-		Sources: func() []caches.Source { return []caches.Source{{Name: "e", Address: "10.0.0.1:80"}} },
-		Learn: func(_ string, parts []pick.Cached) {
+		Sources:  func() []caches.Source { return []caches.Source{{Name: "e", Address: "10.0.0.1:80"}} },
+		Position: func(string) (caches.Position, bool) { return c.position, c.position != caches.Position{} },
+		Reached:  func(_ string, at caches.Position) { c.reached = at },
+		Learn: func(_ string, parts []pick.Cached, _ bool) {
 			for _, p := range parts {
 				told = append(told, p.ID)
 			}
@@ -99,6 +103,17 @@
 	}
 }
 
+// TestTakenOverCacheIsNotReadAgain: the node that followed a cache is gone, and
+// had told how far it was.
+func TestTakenOverCacheIsNotReadAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &cache{answers: []caches.Events{events(1, 90, false, "a"), {Start: 1, Next: 90}}, position: caches.Position{Start: 1, Next: 80}}
+		assert.Equal(t, []string{"a"}, follow(t, c, "n", nil))
+		assert.Equal(t, uint64(80), c.from[0])
+		assert.Equal(t, caches.Position{Start: 1, Next: 90}, c.reached)
+	})
+}
+
 // TestEachCacheIsFollowedByOneNode: the number of calls does not grow with the
 // number of nodes.
 func TestEachCacheIsFollowedByOneNode(t *testing.T) {
--- a/internal/gate/host/host.go
+++ b/internal/gate/host/host.go
@@ -123,7 +123,9 @@
 	mu     sync.Mutex
 	roster *roster.State
 	blame  *blame.State
-	picks  *pick.State
+	// reads is how far this host has read caches' events, heard how far others.
+	reads, heard map[string]caches.Position
+	picks        *pick.State
 
 	pool   *pool.Pool
 	peers  *peers.Peers
@@ -143,7 +145,7 @@
 func New(settings Settings, platform Platform, logger hclog.Logger, lines *spool.Spool) *Host {
 	h := &Host{
 		settings: settings, platform: platform, logger: logger, lines: lines,
-		roster: roster.New(), blame: blame.New(),
+		roster: roster.New(), blame: blame.New(), reads: map[string]caches.Position{}, heard: map[string]caches.Position{},
 		picks: pick.New(pick.Options{DataCentre: settings.DataCentre, Seed: seedOf(settings.Name)}),
 		meter: meter.New(time.Second, logger), feeds: map[string]*feed.Feed{},
 	}
@@ -151,7 +153,7 @@
 	h.bounds.Store(&settings.Bounds)
 	h.pool = pool.New(func(string) { h.meter.Scope().Counter("connections_opened").Inc(1) })
 	h.peers = peers.New(peers.Options{
-		Name: settings.Name, Address: settings.Peer, Compose: h.compose, Hear: h.hear, Rows: h.rows,
+		Name: settings.Name, Address: settings.Peer, Compose: h.compose, Hear: h.hear, Rows: h.rows, Parts: h.parts,
 		Scope: h.meter.Scope(), Logger: logger,
 	})
 	h.desk = desk.New(desk.Options{
@@ -202,8 +204,9 @@
 	supervisor.Add(&service{run: h.keep})
 	supervisor.Add(&service{run: h.register})
 	supervisor.Add(&service{run: h.keepNamings})
+	supervisor.Add(&service{run: h.warm})
 	supervisor.Add(caches.New(caches.Options{
-		Name: h.settings.Name, Client: h.platform.Caches, Sources: h.cacheSources, Learn: h.learn, Forget: h.forget,
+		Name: h.settings.Name, Client: h.platform.Caches, Sources: h.cacheSources, Learn: h.learn, Forget: h.forget, Position: h.position, Reached: h.reached,
 		Nodes: func() []string { return h.peers.Up(time.Now()) }, Scope: h.meter.Scope(), Logger: h.logger,
 	}))
 	for name, listener := range h.sideListeners() {
--- a/internal/gate/host/know.go
+++ b/internal/gate/host/know.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -17,6 +18,10 @@
 )
 
 const (
+	// warmInterval and warmTries are how often a host that has started asks a peer
+	// what is in caches: peers hear of each other within 0.2 s.
+	warmInterval = 150 * time.Millisecond
+	warmTries    = 10
 	// keepInterval is how often beliefs that end with time are looked at.
 	keepInterval = 50 * time.Millisecond
 )
@@ -300,10 +305,51 @@
 	return sources
 }
 
-func (h *Host) learn(name string, parts []pick.Cached) {
+func (h *Host) learn(name string, parts []pick.Cached, whole bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.picks.Learn(name, parts)
+	h.picks.Learn(name, parts, whole)
+}
+
+func (h *Host) position(name string) (caches.Position, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	at, ok := h.heard[name]
+	return at, ok
+}
+
+func (h *Host) reached(name string, at caches.Position) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.reads[name] = at
+}
+
+func (h *Host) parts() []pick.Placed {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.picks.Parts()
+}
+
+// warm takes over, once after a start, what a peer believes to be in caches.
+func (h *Host) warm(ctx context.Context) error {
+	for range warmTries {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(warmInterval):
+		}
+		parts, err := h.peers.AskParts(ctx)
+		if err != nil || len(parts) == 0 || !h.listed.Load() {
+			continue
+		}
+		h.mu.Lock()
+		h.picks.HearParts(parts)
+		h.mu.Unlock()
+		h.logger.Info("parts taken from a peer", "parts", len(parts))
+		break
+	}
+	<-ctx.Done()
+	return ctx.Err()
 }
 
 func (h *Host) forget(name string) {
@@ -316,7 +362,8 @@
 func (h *Host) compose() peers.Message {
 	now := time.Now()
 	h.mu.Lock()
-	message := peers.Message{Report: h.picks.Report(now), Wanted: h.picks.Wanted(now), Crashes: h.blame.Entries(now)}
+	message := peers.Message{Report: h.picks.Report(now), Wanted: h.picks.Wanted(now), Crashes: h.blame.Entries(now), Positions: h.reads}
+	h.reads = map[string]caches.Position{}
 	h.mu.Unlock()
 	message.Emptied = h.emptied()
 	return message
@@ -338,6 +385,7 @@
 	h.mu.Lock()
 	h.picks.Hear(now, m.From, m.Report)
 	h.blame.Hear(now, m.Crashes)
+	maps.Copy(h.heard, m.Positions)
 	h.mu.Unlock()
 	for model, named := range m.Wanted {
 		h.noteWeights(model, named)
--- a/internal/gate/peers/peers.go
+++ b/internal/gate/peers/peers.go
@@ -21,6 +21,7 @@
 	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/cicadamill/cicadamill/internal/gate/caches"
 	"github.com/cicadamill/cicadamill/internal/gate/feed"
 	"github.com/cicadamill/cicadamill/internal/gate/pick"
 	"github.com/cicadamill/cicadamill/internal/safety/blame"
@@ -30,6 +31,7 @@
 const (
 	workPath = "/v1/peer/work"
 	rowsPath = "/v1/peer/rows/"
+	partPath = "/v1/peer/parts"
 )
 
 const (
@@ -64,6 +66,8 @@
 	Wanted map[string]pick.Named `json:"wanted,omitempty"`
 	// Emptied is set by the holder of the lease for orders.
 	Emptied *Emptied `json:"emptied,omitempty"`
+	// Positions are how far the sender has read the events of caches.
+	Positions map[string]caches.Position `json:"positions,omitempty"`
 	// Crashes are the requests that crashed targets.
 	Crashes []blame.Entry `json:"crashes,omitempty"`
 	// Leaving is true when the sender ends.
@@ -90,6 +94,8 @@
 	Hear func(Message)
 	// Rows returns what this node knows of a table after a version.
 	Rows func(table string, after uint64) (feed.Page, bool)
+	// Parts returns what this node believes to be in caches.
+	Parts func() []pick.Placed
 	// Scope takes the metrics.
 	Scope tally.Scope
 	// Logger hears of peers that come and go.
@@ -301,23 +307,42 @@
 	return feed.Page{}, err
 }
 
-func (p *Peers) ask(ctx context.Context, address, table string, after uint64) (feed.Page, error) {
-	asked := "http://" + address + rowsPath + url.PathEscape(table) + "?after=" + strconv.FormatUint(after, 10)
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, asked, nil)
+func (p *Peers) ask(ctx context.Context, address, table string, after uint64) (page feed.Page, err error) {
+	err = p.get(ctx, "http://"+address+rowsPath+url.PathEscape(table)+"?after="+strconv.FormatUint(after, 10), &page)
+	return page, err
+}
+
+// AskParts returns what a peer believes to be in caches.
+func (p *Peers) AskParts(ctx context.Context) (parts []pick.Placed, err error) {
+	err = errors.New("no peer is up")
+	for _, name := range p.Up(time.Now()) {
+		p.mu.Lock()
+		known, ok := p.known[name]
+		p.mu.Unlock()
+		if !ok {
+			continue
+		}
+		if err = p.get(ctx, "http://"+known.address+partPath, &parts); err == nil {
+			return parts, nil
+		}
+	}
+	return nil, err
+}
+
+func (p *Peers) get(ctx context.Context, address string, into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
-		return feed.Page{}, errors.Trace(err)
+		return errors.Trace(err)
 	}
 	response, err := p.client.Do(request)
 	if err != nil {
-		return feed.Page{}, errors.Trace(err)
+		return errors.Trace(err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return feed.Page{}, errors.Errorf("peer answered %s", response.Status)
+		return errors.Errorf("peer answered %s", response.Status)
 	}
-	var page feed.Page
-	err = json.NewDecoder(io.LimitReader(response.Body, maxMessageBytes)).Decode(&page)
-	return page, errors.Trace(err)
+	return errors.Trace(json.NewDecoder(io.LimitReader(response.Body, maxMessageBytes)).Decode(into))
 }
 
 // ServeHTTP implements [http.Handler].
@@ -327,6 +352,10 @@
 		p.serveRows(w, r, string(table))
 		return
 	}
+	if r.URL.Path == partPath && r.Method == http.MethodGet {
+		p.encode(w, p.options.Parts())
+		return
+	}
 	if r.URL.Path != workPath || r.Method != http.MethodPost {
 		http.NotFound(w, r)
 		return
@@ -352,9 +381,13 @@
 		http.NotFound(w, r)
 		return
 	}
+	p.encode(w, page)
+}
+
+func (p *Peers) encode(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(page); err != nil {
-		p.options.Scope.Counter("peer_rows_broken").Inc(1)
+	if err := json.NewEncoder(w).Encode(value); err != nil {
+		p.options.Scope.Counter("peer_answers_broken").Inc(1)
 	}
 }
 
--- a/internal/gate/peers/peers_test.go
+++ b/internal/gate/peers/peers_test.go
@@ -52,6 +52,7 @@
 		Rows: func(table string, _ uint64) (feed.Page, bool) {
 			return feed.Page{Version: 5, Rows: []feed.Row{{Key: "k", Version: 5}}}, table == "t"
 		},
+		Parts: func() []pick.Placed { return []pick.Placed{{Part: 7, Tokens: 9, Target: name}} },
 		Scope: tally.NoopScope, Logger: hclog.NewNullLogger(),
 	})
 	n.server.Config.Handler = n
@@ -111,6 +112,18 @@
 	assert.Error(t, err)
 }
 
+func TestPartsOfAPeer(t *testing.T) {
+	a, b := newNode(t, "a"), newNode(t, "b")
+	_, err := a.AskParts(t.Context())
+	require.Error(t, err, "nobody is up")
+	b.Add("a", a.server.Listener.Addr().String())
+	serve(t, b)
+	require.Eventually(t, func() bool { _, ok := a.last(); return ok }, 5*time.Second, 10*time.Millisecond)
+	parts, err := a.AskParts(t.Context())
+	require.NoError(t, err)
+	assert.Equal(t, []pick.Placed{{Part: 7, Tokens: 9, Target: "b"}}, parts)
+}
+
 func TestLeavingNodeIsForgotten(t *testing.T) {
 	a, b := newNode(t, "a"), newNode(t, "b")
 	b.Add("a", a.server.Listener.Addr().String())
--- a/internal/gate/pick/belief.go
+++ b/internal/gate/pick/belief.go
@@ -56,6 +56,17 @@
 	}
 }
 
+// all returns the parts that the cache of a name surely holds, oldest first.
+func (b *belief) all(name string) []Placed {
+	var parts []Placed
+	for _, key := range b.parts.Keys() {
+		if h, ok := b.parts.Peek(key); ok && h.sure {
+			parts = append(parts, Placed{Part: key, Tokens: h.tokens, Target: name})
+		}
+	}
+	return parts
+}
+
 // confirm notes that parts have been read.
 func (b *belief) confirm(parts []part) {
 	for _, p := range parts {
--- a/internal/gate/pick/pick_test.go
+++ b/internal/gate/pick/pick_test.go
@@ -284,7 +284,7 @@
 	s := fresh(2)
 	g := mustGo(t, s, start, long("sheet"))
 	serve(s, start, long("sheet"), g)
-	s.Learn(g.Target.ID, []pick.Cached{{Model: model, Scope: g.Scope, ID: "sheet", Tokens: 0}})
+	s.Learn(g.Target.ID, []pick.Cached{{Model: model, Scope: g.Scope, ID: "sheet", Tokens: 0}}, false)
 	again := mustGo(t, s, start.Add(time.Second), long("sheet"))
 	assert.LessOrEqual(t, again.Cached+again.Fetched, 2500, "the dropped part is read again")
 
@@ -293,6 +293,28 @@
 	assert.LessOrEqual(t, mustGo(t, other, start, long("sheet")).Cached, 2500, "others hear of it")
 }
 
+// Pattern: warm start. After all nodes restarted, the one that reads a cache's
+// events tells the others of all that it holds, though none knows yet what is
+// shared; a node that restarts alone takes over what another one believes.
+func TestRestartedNodesKnowTheCachesAgain(t *testing.T) {
+	scope := mustGo(t, fresh(2), start, long("sheet")).Scope
+	events := []pick.Cached{
+		{Model: model, Scope: scope, ID: "common", Tokens: 2500}, {Model: model, Scope: scope, ID: "sheet", Tokens: 3800},
+		{Model: model, Scope: scope, ID: "gone", Tokens: 3800}, {Model: model, Scope: scope, ID: "gone", Tokens: 0},
+	}
+	follower, other, late := fresh(2), fresh(2), fresh(2)
+	follower.Learn("e1", events, true)
+	report := follower.Report(start)
+	assert.Len(t, report.Cached, 2, "only what is left")
+	other.Hear(start, "follower", report)
+	late.HearParts(other.Parts())
+	for name, s := range map[string]*pick.State{"follower": follower, "other": other, "late": late} {
+		g := mustGo(t, s, start, long("sheet"))
+		assert.Equal(t, "e1", g.Target.ID, name)
+		assert.Equal(t, 6300, g.Cached, name)
+	}
+}
+
 func TestStoreKeepsWhatSharedPartsDeserve(t *testing.T) {
 	s := fresh(2)
 	assert.Equal(t, "10.9.9.9:1", mustGo(t, s, start, long("sheet")).SaveTo)
@@ -301,7 +323,7 @@
 	r.Prompt.Parts[2].Tokens += 20_000
 	assert.Empty(t, mustGo(t, s, start, r).SaveTo, "its own part would push out more than it brings")
 	serve(s, start, long("sheet"), mustGo(t, s, start, long("sheet")))
-	s.Learn("kept", []pick.Cached{{Model: model, Scope: "w1", ID: "common", Tokens: 2500}, {Model: model, Scope: "w1", ID: "sheet", Tokens: 3800}})
+	s.Learn("kept", []pick.Cached{{Model: model, Scope: "w1", ID: "common", Tokens: 2500}, {Model: model, Scope: "w1", ID: "sheet", Tokens: 3800}}, false)
 	s.Forget("e0")
 	s.Forget("e1")
 	g := mustGo(t, s, start.Add(time.Second), long("sheet"))
--- a/internal/gate/pick/run.go
+++ b/internal/gate/pick/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -155,7 +156,10 @@
 }
 
 // Learn takes a cache's own word on parts that it holds, has taken in or dropped.
-func (s *State) Learn(name string, events []Cached) {
+// Other nodes are told of shared parts; of the whole of a cache they are told all
+// that is left in it, since a node that has just started does not know yet which
+// parts are shared.
+func (s *State) Learn(name string, events []Cached, whole bool) {
 	cache := s.cacheOf(name)
 	if cache == nil {
 		return
@@ -163,8 +167,41 @@
 	for _, e := range events {
 		key := keyOf(e.Model, e.Scope, e.ID)
 		cache.learn(key, e.Tokens)
-		if s.shared.Contains(key) && len(s.cached) < maxPlaced {
-			s.cached = append(s.cached, Placed{Part: key, Tokens: e.Tokens, Target: name})
+		if !whole && s.shared.Contains(key) {
+			s.tellCached(Placed{Part: key, Tokens: e.Tokens, Target: name})
+		}
+	}
+	if whole {
+		for _, p := range cache.all(name) {
+			s.tellCached(p)
+		}
+	}
+}
+
+func (s *State) tellCached(p Placed) {
+	if len(s.cached) < maxPlaced {
+		s.cached = append(s.cached, p)
+	}
+}
+
+// Parts returns all that is believed to be in caches, for a node that has just
+// started.
+func (s *State) Parts() []Placed {
+	var all []Placed
+	for _, id := range slices.Sorted(maps.Keys(s.targets)) {
+		all = append(all, s.targets[id].cache.all(id)...)
+	}
+	for _, st := range s.stores {
+		all = append(all, st.cache.all(st.Name)...)
+	}
+	return all
+}
+
+// HearParts takes what another node believes to be in caches.
+func (s *State) HearParts(parts []Placed) {
+	for _, p := range parts {
+		if cache := s.cacheOf(p.Target); cache != nil {
+			cache.learn(p.Part, p.Tokens)
 		}
 	}
 }
