--- a/internal/gate/feed/feed.go
+++ b/internal/gate/feed/feed.go
@@ -71,7 +71,7 @@
 	answerTime = 700 * time.Millisecond
 	// gatherTime is the pause after changes, so that those which come together
 	// cost one call.
-	gatherTime = 60 * time.Millisecond
+	gatherTime = 250 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause after a failed call.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 600 * time.Millisecond
--- a/internal/gate/pick/choose.go
+++ b/internal/gate/pick/choose.go
@@ -42,6 +42,11 @@
 	// take: the rest is for its own prompt. Work beyond it makes all that follows
 	// late, the short and urgent requests too.
 	crowdShare = 0.5
+	// shortShare is the part of the objective below which a prompt counts as short.
+	shortShare = 0.05
+	// shortWait is the part of the time left beside its own for which the work
+	// ahead of a short prompt may last: estimates are rough.
+	shortWait = 0.85
 	// memoryShare is the part of an engine's memory that running requests may
 	// fill before the engine has to preempt some.
 	memoryShare = 0.9
@@ -268,7 +273,7 @@
 	fetchTime := s.fetchTime(t, fetched, sameZone)
 	wait := v.token * time.Duration(count.Prefill)
 	expected := v.first + fetchTime + wait + v.token*time.Duration(miss)
-	crowded := wait > time.Duration(crowdShare*float64(r.Aim))
+	crowded := wait > allowedWait(r.Aim, v.first, v.token*time.Duration(miss))
 	slots := max(t.Slots, 1)
 	cost := s.common(now, t, r, expected) + waitCost*float64(count.Running)/float64(slots)
 	if count.Running >= slots {
@@ -340,6 +345,17 @@
 	}
 }
 
+// allowedWait is how long the work ahead of a request may take. What little a
+// short prompt adds makes nobody late, so that it may come in as long as it is in
+// time itself; long ones leave room for it.
+func allowedWait(aim, first, own time.Duration) time.Duration {
+	allowed := time.Duration(crowdShare * float64(aim))
+	if float64(own) < shortShare*float64(aim) {
+		allowed = max(allowed, time.Duration(shortWait*float64(aim-first-own)))
+	}
+	return allowed
+}
+
 // donor returns who holds more of the shared parts than an engine itself, the
 // nearest of those that hold the most.
 func (h *holdings) donor(t *target, cached int) (tokens int, address string, near bool) {
