--- a/internal/gate/host/know.go
+++ b/internal/gate/host/know.go
@@ -158,7 +158,7 @@
 		return
 	}
 	h.mu.Lock()
-	news := h.picks.Saw(id, pick.Seen{Born: t.Born, Model: model, Version: version})
+	news := h.picks.Observe(time.Now(), id, pick.Seen{Born: t.Born, Model: model, Version: version})
 	h.mu.Unlock()
 	if news {
 		h.logger.Info("target serves other weights", "target", id, "model", model, "weights", version)
--- a/internal/gate/pick/pick.go
+++ b/internal/gate/pick/pick.go
@@ -46,6 +46,7 @@
 	plan     *plan.Plan
 	wanted   map[string]wanted
 	stores   []*store
+	news     map[string]news
 	placed   []Placed
 	cached   []Placed
 	// shared are parts that are known to be shared: others need not be told of.
@@ -61,6 +62,16 @@
 	floor uint64
 }
 
+// newsAge is how long other nodes are told of a version: until the list of targets
+// tells it, which lags by an interval of their registration.
+const newsAge = 3 * time.Second
+
+// news is a version that other nodes may not know yet.
+type news struct {
+	seen Seen
+	at   time.Time
+}
+
 type naming struct {
 	version uint64
 	since   time.Time
@@ -102,7 +113,7 @@
 		shared:  shared,
 		options: options, random: rand.New(rand.NewPCG(options.Seed, options.Seed)),
 		targets: map[string]*target{}, services: map[string][]*target{},
-		wanted: map[string]wanted{}, speeds: map[string]*speed{},
+		wanted: map[string]wanted{}, news: map[string]news{}, speeds: map[string]*speed{},
 	}
 }
 
@@ -219,6 +230,16 @@
 	return true
 }
 
+// Observe takes a version that this node has itself seen a target serve. Other
+// nodes are told of it for a while; the list of targets tells it later.
+func (s *State) Observe(now time.Time, id string, seen Seen) bool {
+	if !s.Saw(id, seen) {
+		return false
+	}
+	s.news[id] = news{seen: seen, at: now}
+	return true
+}
+
 // Versions returns the versions that targets are believed to serve.
 func (s *State) Versions() map[string]Seen {
 	all := map[string]Seen{}
--- a/internal/gate/pick/run.go
+++ b/internal/gate/pick/run.go
@@ -215,8 +215,15 @@
 
 // Report returns what the other nodes should know, and begins the next report.
 func (s *State) Report(now time.Time) Report {
-	r := Report{Work: map[string]Count{}, Placed: s.placed, Cached: s.cached, Versions: s.Versions()}
+	r := Report{Work: map[string]Count{}, Placed: s.placed, Cached: s.cached, Versions: map[string]Seen{}}
 	s.placed, s.cached = nil, nil
+	for id, n := range s.news {
+		if now.Sub(n.at) > newsAge {
+			delete(s.news, id)
+			continue
+		}
+		r.Versions[id] = n.seen
+	}
 	for id, t := range s.targets {
 		if t.own != (Count{}) {
 			r.Work[id] = t.own
