--- a/internal/gate/relay/relay_test.go
+++ b/internal/gate/relay/relay_test.go
@@ -370,7 +370,7 @@
 
 // TestRefusalsOfTheHostsOwn: each says at once that the request has not run.
 func TestRefusalsOfTheHostsOwn(t *testing.T) {
-	broken := func(w *world) *http.Request {
+	broken := func(*world) *http.Request {
 		r := httptest.NewRequest(http.MethodPost, "/safe/x", iotest.ErrReader(io.ErrUnexpectedEOF))
 		return r
 	}
