--- a/internal/gate/peers/peers.go
+++ b/internal/gate/peers/peers.go
@@ -11,20 +11,16 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/url"
 	"slices"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/cicadamill/cicadamill/internal/gate/caches"
 	"github.com/cicadamill/cicadamill/internal/gate/feed"
 	"github.com/cicadamill/cicadamill/internal/gate/pick"
-	"github.com/cicadamill/cicadamill/internal/safety/blame"
 )
 
 // The paths of the peers' listener.
@@ -54,34 +50,6 @@
 	maxMessageBytes = 4 << 20
 )
 
-// Message is what one node tells another.
-type Message struct {
-	// From is the sender's name.
-	From string `json:"from"`
-	// Address is where the sender listens for peers.
-	Address string `json:"address"`
-	// Report is its work.
-	Report pick.Report `json:"report"`
-	// Wanted is the newest version of each model's weights that it knows.
-	Wanted map[string]pick.Named `json:"wanted,omitempty"`
-	// Emptied is set by the holder of the lease for orders.
-	Emptied *Emptied `json:"emptied,omitempty"`
-	// Positions are how far the sender has read the events of caches.
-	Positions map[string]caches.Position `json:"positions,omitempty"`
-	// Crashes are the requests that crashed targets.
-	Crashes []blame.Entry `json:"crashes,omitempty"`
-	// Leaving is true when the sender ends.
-	Leaving bool `json:"leaving,omitempty"`
-}
-
-// Emptied names the targets that get no new work before they load weights.
-type Emptied struct {
-	// Fence is the fencing number of the holder.
-	Fence uint64 `json:"fence"`
-	// Targets are the targets' names.
-	Targets []string `json:"targets"`
-}
-
 // Options are what [Peers] need.
 type Options struct {
 	// Name is this node's name.
@@ -284,67 +252,6 @@
 	p.options.Scope.Counter("peer_messages_sent").Inc(1)
 }
 
-// Rows asks peers, one after the other, for what they know of a table.
-func (p *Peers) Rows(ctx context.Context, table string, after uint64) (feed.Page, error) {
-	p.mu.Lock()
-	addresses := make([]string, 0, len(p.known))
-	for _, known := range p.known {
-		addresses = append(addresses, known.address)
-	}
-	p.mu.Unlock()
-	slices.Sort(addresses)
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	err := errors.New("no peer is known")
-	for _, address := range addresses {
-		var page feed.Page
-		if page, err = p.ask(ctx, address, table, after); err == nil {
-			return page, nil
-		}
-		if ctx.Err() != nil {
-			break
-		}
-	}
-	return feed.Page{}, err
-}
-
-func (p *Peers) ask(ctx context.Context, address, table string, after uint64) (page feed.Page, err error) {
-	err = p.get(ctx, "http://"+address+rowsPath+url.PathEscape(table)+"?after="+strconv.FormatUint(after, 10), &page)
-	return page, err
-}
-
-// AskParts returns what a peer believes to be in caches.
-func (p *Peers) AskParts(ctx context.Context) (parts []pick.Placed, err error) {
-	err = errors.New("no peer is up")
-	for _, name := range p.Up(time.Now()) {
-		p.mu.Lock()
-		known, ok := p.known[name]
-		p.mu.Unlock()
-		if !ok {
-			continue
-		}
-		if err = p.get(ctx, "http://"+known.address+partPath, &parts); err == nil {
-			return parts, nil
-		}
-	}
-	return nil, err
-}
-
-func (p *Peers) get(ctx context.Context, address string, into any) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	response, err := p.client.Do(request)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return errors.Errorf("peer answered %s", response.Status)
-	}
-	return errors.Trace(json.NewDecoder(io.LimitReader(response.Body, maxMessageBytes)).Decode(into))
-}
-
 // ServeHTTP implements [http.Handler].
 func (p *Peers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header()["Date"] = nil
--- a/internal/gate/plan/plan.go
+++ b/internal/gate/plan/plan.go
@@ -53,8 +53,6 @@
 	Priority int
 	// Anonymous is true when requests need no key.
 	Anonymous bool
-	// Prompted is true when requests describe a prompt.
-	Prompted bool
 	// Resumable is true when a stream may go on at another target.
 	Resumable bool
 }
--- a/internal/gate/roster/roster.go
+++ b/internal/gate/roster/roster.go
@@ -32,8 +32,6 @@
 	Versions map[string]uint64
 	// ColdUntil is when it has reached its full speed.
 	ColdUntil time.Time
-	// Seq is the number of orders that it had accepted when the entry was written.
-	Seq int
 }
 
 // Change is one entry of the list that was written or removed.
