--- a/internal/gate/host/drain.go
+++ b/internal/gate/host/drain.go
@@ -39,11 +39,6 @@
 	if c.host.stopping() {
 		w.Header().Set("Connection", "close")
 	}
-	if c.host.stop.late.Load() {
-		w.Header().Set("Retry-After", "0")
-		http.Error(w, "this host stops", http.StatusServiceUnavailable)
-		return
-	}
 	c.next.ServeHTTP(w, r)
 }
 
--- a/internal/gate/host/host.go
+++ b/internal/gate/host/host.go
@@ -164,7 +164,7 @@
 	h.relay = relay.New(relay.Options{
 		Codec: platform.Codec, Plan: h.plan.Load, Picks: h.picks, Lock: &h.mu, Pool: h.pool, Fleet: h.peers,
 		Bound: settings.Bounds.Repeats, Leave: time.Minute, Seen: h.seen, Scope: h.meter.Scope(), Logger: logger,
-		Blame: h.blame,
+		Blame: h.blame, Stopping: h.stop.late.Load,
 	})
 	h.addFeed(platform.OperatorTable, h.operatorRows, h.operatorRows, nil)
 	h.addFeed(platform.TargetTable, h.targetReset, h.targetChange, h.regained)
--- a/internal/gate/relay/relay.go
+++ b/internal/gate/relay/relay.go
@@ -53,6 +53,9 @@
 	// Leave is how long a request may take until the client leaves, if it does
 	// not say.
 	Leave time.Duration
+	// Stopping tells whether a request that comes now might not end before the
+	// process does; nil means that none stops.
+	Stopping func() bool
 	// Seen is told of each version that an answer bears.
 	Seen func(target, model string, version uint64)
 	// Scope takes the metrics.
@@ -173,6 +176,9 @@
 	if err != nil {
 		return j, refusal("badRequest", http.StatusBadRequest, err.Error(), 0)
 	}
+	if h.options.Stopping != nil && h.options.Stopping() {
+		return j, refusal("stopping", http.StatusServiceUnavailable, "this host stops, others serve", stopPause)
+	}
 	if j.plan == nil {
 		return j, refusal("noConfiguration", http.StatusServiceUnavailable, "this node has no configuration yet", startPause)
 	}
@@ -233,6 +239,10 @@
 	return nil
 }
 
+// stopPause is how long the client of a host that stops should wait: it comes back
+// to another one.
+const stopPause = 10 * time.Millisecond
+
 // crashPause is how long the client of a request that crashes targets should
 // wait: until what it is blamed for has been looked at.
 const crashPause = 30 * time.Second
