--- a/internal/gate/relay/relay_test.go
+++ b/internal/gate/relay/relay_test.go
@@ -381,7 +381,7 @@
 		code    string
 	}{
 		"body broken off": {[]target{good}, broken, nil, "bodyBroken"},
-		"host stops": {[]target{good}, nil, func(o *relay.Options) { o.Stopping = func() bool { return true } }, "stopping"},
+		"host stops":      {[]target{good}, nil, func(o *relay.Options) { o.Stopping = func() bool { return true } }, "stopping"},
 		"no time left": {[]target{good}, nil, func(o *relay.Options) {
 			p := plan.New(plan.Plan{Version: 1, Services: map[string]plan.Service{"app": {Name: "app"}}},
 				[]plan.Route{{Host: "a.example", Prefix: "/", Splits: []plan.Split{{Service: "app", Weight: 1}}, Timeout: 5 * time.Millisecond, Objective: time.Second}}, nil)
