--- a/internal/config/record/record_test.go
+++ b/internal/config/record/record_test.go
@@ -35,40 +35,46 @@
 }
 
 func TestTextIsKeptVerbatim(t *testing.T) {
-	f := newFixture(t)
-	const text = "{\n  // A comment.\n  \"site\": \"tema\",\n}\n"
-	version, err := f.submit(0, "a", text)
-	require.NoError(t, err)
-	assert.EqualValues(t, 1, version)
-	entry, err := f.store.Entry(t.Context(), 1)
-	require.NoError(t, err)
-	got, err := f.store.Text(t.Context(), entry)
-	require.NoError(t, err)
-	assert.Equal(t, text, string(got))
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		const text = "{\n  // A comment.\n  \"site\": \"tema\",\n}\n"
+		version, err := f.submit(0, "a", text)
+		require.NoError(t, err)
+		assert.EqualValues(t, 1, version)
+		entry, err := f.store.Entry(t.Context(), 1)
+		require.NoError(t, err)
+		got, err := f.store.Text(t.Context(), entry)
+		require.NoError(t, err)
+		assert.Equal(t, text, string(got))
+	})
 }
 
 func TestRaceHasOneWinner(t *testing.T) {
-	f := newFixture(t)
-	_, err := f.submit(0, "a", "{}")
-	require.NoError(t, err)
-	_, err = f.submit(0, "b", "{}")
-	var conflict *submit.ConflictError
-	require.ErrorAs(t, err, &conflict)
-	assert.Equal(t, submit.ConflictError{Base: 0, Current: 1}, *conflict)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		_, err := f.submit(0, "a", "{}")
+		require.NoError(t, err)
+		_, err = f.submit(0, "b", "{}")
+		var conflict *submit.ConflictError
+		require.ErrorAs(t, err, &conflict)
+		assert.Equal(t, submit.ConflictError{Base: 0, Current: 1}, *conflict)
+	})
 }
 
 func TestSameSubmissionAgainIsAccepted(t *testing.T) {
-	f := newFixture(t)
-	for range 2 {
-		version, err := f.submit(0, "a", "{}")
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		for range 2 {
+			version, err := f.submit(0, "a", "{}")
+			require.NoError(t, err)
+			assert.EqualValues(t, 1, version)
+		}
+		_, err := f.submit(1, "b", "{}")
 		require.NoError(t, err)
+		version, err := f.submit(0, "a", "{}")
+		require.NoError(t, err, "also after the next one")
 		assert.EqualValues(t, 1, version)
-	}
-	_, err := f.submit(1, "b", "{}")
-	require.NoError(t, err)
-	version, err := f.submit(0, "a", "{}")
-	require.NoError(t, err, "also after the next one")
-	assert.EqualValues(t, 1, version)
+	})
 }
 
 func TestLostRepliesAreResolved(t *testing.T) {
