--- a/internal/gate/pick/pick.go
+++ b/internal/gate/pick/pick.go
@@ -32,7 +32,7 @@
 
 // tellAgain is how often others are told that a part is used where they know it
 // to be: more often than a cache forgets what it has not used.
-const tellAgain = 4 * time.Second
+const tellAgain = time.Second
 
 // Options describe the node that decides.
 type Options struct {
