--- a/internal/gate/peers/peers.go
+++ b/internal/gate/peers/peers.go
@@ -23,7 +23,7 @@
 const (
 	// workInterval is how often a node tells its work: a third of the time to a
 	// first token, so that a count is old by less than one run.
-	workInterval = 120 * time.Millisecond
+	workInterval = 60 * time.Millisecond
 	// callTimeout bounds one message; peers are milliseconds away.
 	callTimeout = 400 * time.Millisecond
 	// namesInterval is how often a message bears the names of nodes that are up.
