--- a/internal/gate/host/host.go
+++ b/internal/gate/host/host.go
@@ -126,6 +126,8 @@
 	mu     sync.Mutex
 	roster *roster.State
 	blame  *blame.State
+	// crashes are those that others are still to be told of.
+	crashes *trail.Trail[crashed]
 	// heard is how far hosts have read caches' events, reads what of it others are
 	// still to be told, reported when they were told last of those read here.
 	heard    map[string]caches.Position
@@ -151,7 +153,7 @@
 func New(settings Settings, platform Platform, logger hclog.Logger, lines *spool.Spool) *Host {
 	h := &Host{
 		settings: settings, platform: platform, logger: logger, lines: lines,
-		roster: roster.New(), blame: blame.New(),
+		roster: roster.New(), blame: blame.New(), crashes: trail.New[crashed](maxCrashes),
 		heard: map[string]caches.Position{}, reads: trail.New[read](maxPositions), reported: map[string]time.Time{},
 		picks: pick.New(pick.Options{DataCentre: settings.DataCentre, Seed: seedOf(settings.Name)}),
 		meter: meter.New(time.Second, logger), feeds: map[string]*feed.Feed{},
--- a/internal/gate/host/know.go
+++ b/internal/gate/host/know.go
@@ -15,6 +15,7 @@
 	"github.com/cicadamill/cicadamill/internal/gate/roster"
 	"github.com/cicadamill/cicadamill/internal/gate/trail"
 	"github.com/cicadamill/cicadamill/internal/node/orders"
+	"github.com/cicadamill/cicadamill/internal/safety/blame"
 	"github.com/cicadamill/cicadamill/internal/safety/order"
 )
 
@@ -203,7 +204,8 @@
 	targets := h.roster.Targets()
 	for id, old := range h.listedTargets() {
 		if t, ok := targets[id]; !old.Leaving && (!ok || t.Born != old.Born) {
-			h.blame.Died(time.Now(), id)
+			now := time.Now()
+			h.noteCrashes(now, trail.Origin{}, h.blame.Died(now, id))
 		}
 	}
 	h.picks.SetTargets(targets)
@@ -308,10 +310,11 @@
 	var m peers.Message
 	h.mu.Lock()
 	m.Report, m.Next.Parts = h.picks.Report(now, to, after.Parts)
-	m.Wanted, m.Crashes = h.picks.Wanted(now), h.blame.Entries(now)
+	m.Wanted = h.picks.Wanted(now)
 	told, next := h.reads.Since(after.Positions, to)
-	h.mu.Unlock()
 	m.Next.Positions = next
+	m.Crashes, m.Next.Crashes = h.crashesFor(now, to, after.Crashes)
+	h.mu.Unlock()
 	for _, r := range told {
 		if m.Positions == nil {
 			m.Positions = map[string]caches.Position{}
@@ -321,6 +324,33 @@
 	return m
 }
 
+// crashed is a crash for which a request is to blame.
+type crashed struct {
+	entry blame.Entry
+	at    time.Time
+}
+
+func (h *Host) noteCrashes(now time.Time, from trail.Origin, entries []blame.Entry) {
+	for _, e := range entries {
+		h.crashes.Add(from, crashed{entry: e, at: now.Add(-e.Age)})
+	}
+}
+
+// crashesFor returns the crashes that an audience has not been told of: all of
+// them if it was told nothing yet.
+func (h *Host) crashesFor(now time.Time, to trail.Audience, after uint64) ([]blame.Entry, uint64) {
+	news, next := h.crashes.Since(after, to)
+	if after == trail.Fresh {
+		return h.blame.Entries(now), next
+	}
+	var entries []blame.Entry
+	for _, c := range news {
+		c.entry.Age = now.Sub(c.at)
+		entries = append(entries, c.entry)
+	}
+	return entries, next
+}
+
 // tables returns how well this host knows the platform's tables.
 func (h *Host) tables() map[string]peers.Known {
 	now := time.Now()
@@ -365,7 +395,7 @@
 	} else {
 		h.picks.HearNews(now, from, m.Report)
 	}
-	h.blame.Hear(now, m.Crashes)
+	h.noteCrashes(now, from, h.blame.Hear(now, m.Crashes))
 	for name, at := range m.Positions {
 		h.heard[name] = at
 		h.reads.Add(from, read{cache: name, at: at})
--- a/internal/gate/host/warm.go
+++ b/internal/gate/host/warm.go
@@ -19,7 +19,9 @@
 	// reportPositions is how often others are told how far a cache has been read.
 	reportPositions = time.Second
 	// maxPositions bounds what waits to be told of positions.
-	maxPositions = 4096
+	maxPositions = 1024
+	// maxCrashes bounds what waits to be told of crashes.
+	maxCrashes = 1024
 	// minStrength stands for a strength that is not known.
 	minStrength = 0.1
 )
--- a/internal/gate/peers/message.go
+++ b/internal/gate/peers/message.go
@@ -20,7 +20,8 @@
 	Strength   float64 `json:"strength,omitempty"`
 	// Asks is true when the sender wants to be told of all nodes in the answer.
 	Asks bool `json:"asks,omitempty"`
-	// Probe is true when the sender only looks whether the receiver is there.
+	// Probe is true when the sender only looks whether the receiver is there, and
+	// says that it is itself.
 	Probe bool `json:"probe,omitempty"`
 	// Have is the place in the receiver's news up to which the sender knows them.
 	Have Place `json:"have"`
@@ -51,10 +52,12 @@
 	Parts uint64
 	// Positions is the place in the news of positions.
 	Positions uint64
+	// Crashes is the place in the news of crashes.
+	Crashes uint64
 }
 
 // fresh is the place of a node that has been told nothing.
-var fresh = Place{Parts: trail.Fresh, Positions: trail.Fresh}
+var fresh = Place{Parts: trail.Fresh, Positions: trail.Fresh, Crashes: trail.Fresh}
 
 // Emptied names the targets that get no new work before they load weights.
 type Emptied struct {
--- a/internal/gate/peers/peers.go
+++ b/internal/gate/peers/peers.go
@@ -21,8 +21,8 @@
 )
 
 const (
-	// workInterval is how often a node tells its work: a third of the time to a
-	// first token, so that a count is old by less than one run.
+	// workInterval is how often a node tells its work: less than the time to a
+	// first token, so that few requests are placed by figures of before the last.
 	workInterval = 60 * time.Millisecond
 	// callTimeout bounds one message; peers are milliseconds away.
 	callTimeout = 400 * time.Millisecond
--- a/internal/gate/peers/peers_test.go
+++ b/internal/gate/peers/peers_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -138,6 +140,37 @@
 	assert.Equal(t, 1, a.Nodes())
 }
 
+// Pattern: bounded backlog. A peer that is cut off is asked whether it is there,
+// and not sent all that it missed again and again.
+func TestSilentPeerIsNotToldWhatItMissed(t *testing.T) {
+	var mu sync.Mutex
+	var bodies []int
+	silent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		mu.Lock()
+		defer mu.Unlock()
+		bodies = append(bodies, len(body))
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	defer silent.Close()
+	composed := 0
+	p := peers.New(peers.Options{
+		Self: tree.Node{Name: "a"}, Address: "10.0.0.1:1",
+		Compose: func(trail.Audience, peers.Place) peers.Message { composed++; return peers.Message{} },
+		Hear:    func(trail.Origin, peers.Message, bool) {}, Drop: func(string) {}, Scope: tally.NoopScope, Logger: hclog.NewNullLogger(),
+	})
+	p.Add(tree.Node{Name: "b"}, silent.Listener.Addr().String())
+	p.Add(tree.Node{Name: "c"}, "127.0.0.1:1")
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	assert.Error(t, p.Serve(ctx))
+	mu.Lock()
+	defer mu.Unlock()
+	require.NotEmpty(t, bodies)
+	assert.LessOrEqual(t, bodies[0], 200)
+	assert.Positive(t, composed, "one that answers is told")
+}
+
 func TestBadMessages(t *testing.T) {
 	n := newNode(t, "a")
 	tests := map[string]struct {
--- a/internal/gate/peers/serve.go
+++ b/internal/gate/peers/serve.go
@@ -55,7 +55,11 @@
 	case m.Probe:
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		p.tree.Heard(now, tree.Node{Name: m.From, DataCentre: m.DataCentre, Strength: m.Strength}, tree.Other)
+		if m.From != "" && m.From != p.options.Self.Name {
+			node := tree.Node{Name: m.From, DataCentre: m.DataCentre, Strength: m.Strength}
+			p.link(now, node, m.Address)
+			p.tree.Heard(now, node, tree.Other)
+		}
 		return nil
 	case m.Asks:
 		p.hear(now, m, tree.Child)
--- a/internal/gate/peers/talk.go
+++ b/internal/gate/peers/talk.go
@@ -43,24 +43,27 @@
 		p.options.Logger.Info("peer changed", "peer", c.Name, "up", c.Up, "silentMs", c.Silent.Milliseconds())
 	}
 	dropped := p.turn(now)
-	var messages []outgoing
-	for _, name := range p.tree.Told(now) {
+	var messages, probes []outgoing
+	told := p.tree.Told(now)
+	if name, ok := p.tree.Probe(now); ok {
+		told = append(told, name)
+	}
+	for _, name := range told {
 		l, ok := p.links[name]
 		if !ok || l.busy {
 			continue
 		}
 		l.busy = true
+		if !p.tree.Alive(now, name) {
+			// What a silent peer missed would make each message to it longer.
+			l.told = fresh
+			probes = append(probes, outgoing{to: name, address: l.address, message: p.signed(Message{Probe: true, Next: fresh})})
+			continue
+		}
 		messages = append(messages, outgoing{
 			to: name, address: l.address, told: l.told, have: l.have, asks: p.parent != "", names: p.names(now, l, false),
 		})
 	}
-	var probes []outgoing
-	if name, ok := p.tree.Probe(now); ok {
-		if l, ok := p.links[name]; ok && !l.busy {
-			l.busy = true
-			probes = append(probes, outgoing{to: name, address: l.address, told: l.told, message: p.signed(Message{Probe: true, Next: l.told})})
-		}
-	}
 	for name := range p.links {
 		if !p.tree.Knows(name) {
 			delete(p.links, name)
--- a/internal/gate/pick/pick.go
+++ b/internal/gate/pick/pick.go
@@ -28,7 +28,7 @@
 const maxNamed = 16
 
 // maxNews bounds the parts that wait for the next report.
-const maxNews = 4096
+const maxNews = 1024
 
 // tellAgain is how often others are told that a part is used where they know it
 // to be: more often than a cache forgets what it has not used.
--- a/internal/gate/tree/tree.go
+++ b/internal/gate/tree/tree.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// fewNodes is the number of nodes up to which each tells every other: 16
-	// nodes send 2,000 messages a second so, a tree of 71 sends 660.
-	fewNodes = 16
+	// fewNodes is the number of nodes up to which each tells every other: 12
+	// nodes send 2,200 messages a second so, a tree of 71 sends 1,300.
+	fewNodes = 12
 	// heardAge is how long after its last message a node counts as up: sixteen
 	// messages.
 	heardAge = 2 * time.Second
@@ -261,6 +261,12 @@
 // Knows reports whether a node is known.
 func (s *State) Knows(name string) bool { return s.nodes[name] != nil }
 
+// Alive reports whether a node is up.
+func (s *State) Alive(now time.Time, name string) bool {
+	e, ok := s.nodes[name]
+	return ok && e.alive(now)
+}
+
 // Unnamed reports whether of a node only its address is known.
 func (s *State) Unnamed(name string) bool {
 	e, ok := s.nodes[name]
--- a/internal/safety/blame/blame.go
+++ b/internal/safety/blame/blame.go
@@ -74,26 +74,31 @@
 	}
 }
 
-// Died charges the requests that have just broken on a target.
-func (s *State) Died(now time.Time, target string) {
+// Died charges the requests that have just broken on a target, and returns what
+// other nodes do not know yet.
+func (s *State) Died(now time.Time, target string) []Entry {
+	var fresh []Entry
 	for _, d := range s.broken[target] {
-		if now.Sub(d.at) <= doubtTime {
-			s.charge(d.request, crash{target: target, at: d.at})
+		if now.Sub(d.at) <= doubtTime && s.charge(d.request, crash{target: target, at: d.at}) {
+			fresh = append(fresh, Entry{Request: d.request, Target: target, Age: now.Sub(d.at)})
 		}
 	}
 	delete(s.broken, target)
+	return fresh
 }
 
-func (s *State) charge(request uint64, c crash) {
+// charge holds a crash against a request and reports whether it is news.
+func (s *State) charge(request uint64, c crash) bool {
 	if len(s.crashes) >= maxEntries && s.crashes[request] == nil {
-		return
+		return false
 	}
 	for _, known := range s.crashes[request] {
 		if known.target == c.target && known.at.Sub(c.at).Abs() < mergeTime {
-			return
+			return false
 		}
 	}
 	s.crashes[request] = append(s.crashes[request], c)
+	return true
 }
 
 // Refused reports whether a request has crashed too many targets.
@@ -107,7 +112,7 @@
 	return count >= limit
 }
 
-// Entries returns what other nodes should know.
+// Entries returns all that is known, for a node that has just come.
 func (s *State) Entries(now time.Time) []Entry {
 	s.expire(now)
 	var all []Entry
@@ -119,13 +124,15 @@
 	return all
 }
 
-// Hear takes another node's entries.
-func (s *State) Hear(now time.Time, entries []Entry) {
+// Hear takes another node's entries and returns those that are news.
+func (s *State) Hear(now time.Time, entries []Entry) []Entry {
+	var fresh []Entry
 	for _, e := range entries {
-		if e.Age < lifetime {
-			s.charge(e.Request, crash{target: e.Target, at: now.Add(-e.Age)})
+		if e.Age < lifetime && s.charge(e.Request, crash{target: e.Target, at: now.Add(-e.Age)}) {
+			fresh = append(fresh, e)
 		}
 	}
+	return fresh
 }
 
 func (s *State) expire(now time.Time) {
