--- a/internal/gate/host/rows.go
+++ b/internal/gate/host/rows.go
@@ -51,7 +51,7 @@
 // register writes this host's row and reads those of the others.
 func (h *Host) register(ctx context.Context) error {
 	for _, address := range h.settings.Seeds {
-		h.peers.Add(tree.Node{Name: "seed " + address}, address)
+		h.peers.Add(tree.Node{Name: "seed " + address, Seed: true}, address)
 	}
 	written := h.settings.Peer == ""
 	for {
--- a/internal/gate/peers/peers_test.go
+++ b/internal/gate/peers/peers_test.go
@@ -153,14 +153,17 @@
 		w.WriteHeader(http.StatusNoContent)
 	}))
 	defer silent.Close()
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }))
+	defer other.Close()
 	composed := 0
 	p := peers.New(peers.Options{
 		Self: tree.Node{Name: "a"}, Address: "10.0.0.1:1",
 		Compose: func(trail.Audience, peers.Place) peers.Message { composed++; return peers.Message{} },
 		Hear:    func(trail.Origin, peers.Message, bool) {}, Drop: func(string) {}, Scope: tally.NoopScope, Logger: hclog.NewNullLogger(),
 	})
-	p.Add(tree.Node{Name: "b"}, silent.Listener.Addr().String())
+	p.Add(tree.Node{Name: "b", DataCentre: "east"}, silent.Listener.Addr().String())
 	p.Add(tree.Node{Name: "c"}, "127.0.0.1:1")
+	p.Add(tree.Node{Name: "seed d", Seed: true}, other.Listener.Addr().String())
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
 	assert.Error(t, p.Serve(ctx))
@@ -168,6 +171,9 @@
 	defer mu.Unlock()
 	require.NotEmpty(t, bodies)
 	assert.LessOrEqual(t, bodies[0], 200)
+	for _, node := range p.Up(time.Now()) {
+		assert.Equal(t, "b", node.Name, "an address alone is no node that caches could fall to")
+	}
 	assert.Positive(t, composed, "one that answers is told")
 }
 
--- a/internal/gate/peers/talk.go
+++ b/internal/gate/peers/talk.go
@@ -193,7 +193,7 @@
 	if !s.ok {
 		p.tree.Failed(now, s.to)
 	}
-	if s.ok && s.message.Probe {
+	if s.ok && s.message.Probe && !p.tree.IsSeed(s.to) {
 		p.tree.Heard(now, tree.Node{Name: s.to}, tree.Other)
 	}
 	m := s.answer
@@ -240,7 +240,7 @@
 // it was named.
 func (p *Peers) forgetAlias(named, address string) {
 	for name, l := range p.links {
-		if l.address == address && name != named && p.tree.Unnamed(name) {
+		if l.address == address && name != named && p.tree.IsSeed(name) {
 			p.tree.Left(name)
 			delete(p.links, name)
 		}
--- a/internal/gate/tree/tree.go
+++ b/internal/gate/tree/tree.go
@@ -38,10 +38,12 @@
 type Node struct {
 	// Name is its name.
 	Name string
-	// DataCentre is where it stands; empty when only its address is known.
+	// DataCentre is where it stands; empty if not known.
 	DataCentre string
 	// Strength is its share of a core; the strongest tell the others.
 	Strength float64
+	// Seed is true when only an address is known, and the name stands for it.
+	Seed bool
 }
 
 // Role is what a node was when it sent a message.
@@ -101,7 +103,7 @@
 // Add names a node.
 func (s *State) Add(now time.Time, n Node) {
 	e := s.entry(now, n.Name)
-	if n.DataCentre != "" {
+	if n.DataCentre != "" || n.Seed {
 		e.Node = n
 	}
 }
@@ -267,10 +269,10 @@
 	return ok && e.alive(now)
 }
 
-// Unnamed reports whether of a node only its address is known.
-func (s *State) Unnamed(name string) bool {
+// IsSeed reports whether of a node only its address is known.
+func (s *State) IsSeed(name string) bool {
 	e, ok := s.nodes[name]
-	return ok && e.DataCentre == "" && e.heard.IsZero() && e.said.IsZero()
+	return ok && e.Seed
 }
 
 // Probe returns a stronger node of the data centre that went silent and may be
--- a/internal/gate/tree/tree_test.go
+++ b/internal/gate/tree/tree_test.go
@@ -64,7 +64,7 @@
 		"a child is not told":      {self: strong, play: func(s *tree.State) { s.Heard(start, weak, tree.Child) }, want: []string{"n01"}},
 		"the strongest has left":   {self: weak, play: func(s *tree.State) { s.Left("n00") }, want: []string{"n02"}},
 		"root of other is silent":  {self: strong, play: func(s *tree.State) { s.Failed(start, "n01") }, want: []string{"n03"}},
-		"only an address is known": {self: strong, play: func(s *tree.State) { s.Add(start, tree.Node{Name: "seed 10.0.0.1:1"}) }, want: []string{"n01"}},
+		"only an address is known": {self: strong, play: func(s *tree.State) { s.Add(start, tree.Node{Name: "seed 10.0.0.1:1", Seed: true}) }, want: []string{"n01"}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
