--- a/internal/gate/peers/peers.go
+++ b/internal/gate/peers/peers.go
@@ -71,7 +71,6 @@
 	links   map[string]*link
 	parent  string
 	emptied word
-	named   time.Time
 	answer  answer
 	leaving bool
 }
--- a/internal/gate/peers/talk.go
+++ b/internal/gate/peers/talk.go
@@ -193,7 +193,7 @@
 	if !s.ok {
 		p.tree.Failed(now, s.to)
 	}
-	if s.ok && s.message.Probe && !p.tree.IsSeed(s.to) {
+	if s.ok && s.message.Probe && p.tree.Knows(s.to) && !p.tree.IsSeed(s.to) {
 		p.tree.Heard(now, tree.Node{Name: s.to}, tree.Other)
 	}
 	m := s.answer
--- a/internal/gate/relay/attempt.go
+++ b/internal/gate/relay/attempt.go
@@ -182,8 +182,14 @@
 	}
 	h.options.Lock.Lock()
 	h.options.Picks.Finish(time.Now(), s.run, s.end)
-	if b, ok := r.(broken); ok && b.lost {
-		h.options.Blame.Broke(time.Now(), j.digest, g.Target.ID)
+	switch r := r.(type) {
+	case broken:
+		if r.lost {
+			h.options.Blame.Broke(time.Now(), j.digest, g.Target.ID)
+		}
+	case done:
+		h.options.Blame.Worked(j.digest)
+	case notRun, gone:
 	}
 	h.options.Lock.Unlock()
 	h.logSending(s, r)
--- a/internal/gate/roster/roster.go
+++ b/internal/gate/roster/roster.go
@@ -12,6 +12,11 @@
 // within about two seconds of its return.
 const returnGrace = 2 * time.Second
 
+// memory is how long it is remembered that a target which is gone was leaving and
+// which version of its entry was the last: longer than a peer's word or a page of
+// the store can be under way.
+const memory = time.Minute
+
 // Target is one start of a target.
 type Target struct {
 	// ID is the target's name.
@@ -55,12 +60,14 @@
 	left map[string]int64
 	// versions holds the version of each entry, to drop what is older.
 	versions map[string]uint64
+	// gone holds when targets were removed.
+	gone     map[string]time.Time
 	returned time.Time
 }
 
 // New returns an empty list.
 func New() *State {
-	return &State{targets: map[string]Target{}, lost: map[string]time.Time{}, left: map[string]int64{}, versions: map[string]uint64{}}
+	return &State{targets: map[string]Target{}, lost: map[string]time.Time{}, left: map[string]int64{}, versions: map[string]uint64{}, gone: map[string]time.Time{}}
 }
 
 // Returned notes that the store answers again after an outage.
@@ -97,6 +104,7 @@
 
 func (s *State) put(t Target) {
 	delete(s.lost, t.ID)
+	delete(s.gone, t.ID)
 	if born, ok := s.left[t.ID]; ok && born == t.Born {
 		t.Leaving = true
 	}
@@ -118,21 +126,33 @@
 	}
 	delete(s.targets, id)
 	delete(s.lost, id)
+	s.gone[id] = now
 }
 
 // Expire drops targets whose entries have stayed missing, and reports whether
-// there were any.
+// there were any. What is long gone is forgotten.
 func (s *State) Expire(now time.Time) bool {
 	expired := false
 	for id, until := range s.lost {
 		if !now.Before(until) {
 			delete(s.lost, id)
 			delete(s.targets, id)
+			s.gone[id] = now
 			expired = true
 		}
 	}
+	for id, at := range s.gone {
+		if now.Sub(at) > memory {
+			delete(s.gone, id)
+			delete(s.left, id)
+			delete(s.versions, id)
+		}
+	}
 	return expired
 }
 
 // Targets returns all targets of the list.
 func (s *State) Targets() map[string]Target { return maps.Clone(s.targets) }
+
+// Remembered returns how many targets something is known of, gone ones included.
+func (s *State) Remembered() int { return len(s.versions) }
--- a/internal/gate/roster/roster_test.go
+++ b/internal/gate/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster_test
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"testing"
@@ -79,3 +80,18 @@
 	assert.False(t, s.Expire(start.Add(5*time.Second)))
 	assert.Equal(t, []string{"a"}, names(s))
 }
+
+// TestWhatIsLongGoneIsForgotten: targets come and go all day; memory does not grow
+// with them.
+func TestWhatIsLongGoneIsForgotten(t *testing.T) {
+	s := roster.New()
+	now := time.Unix(1000, 0)
+	for i := range 1000 {
+		id := fmt.Sprint("t", i)
+		now = now.Add(time.Second)
+		s.Apply(now, roster.Change{ID: id, Version: uint64(2 * i), Target: &roster.Target{ID: id, Leaving: true}})
+		s.Apply(now, roster.Change{ID: id, Version: uint64(2*i + 1)})
+		s.Expire(now)
+	}
+	assert.Less(t, s.Remembered(), 70, "a minute's worth")
+}
--- a/internal/safety/blame/blame.go
+++ b/internal/safety/blame/blame.go
@@ -11,6 +11,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
 const (
@@ -43,6 +45,8 @@
 type State struct {
 	broken  map[string][]doubt
 	crashes map[uint64][]crash
+	// worked are requests that targets have answered: they crash none.
+	worked *simplelru.LRU[uint64, struct{}]
 }
 
 // doubt is a request that broke on a target which may have died.
@@ -64,7 +68,17 @@
 //	if state.Refused(now, digest) {
 //		refuse()
 //	}
-func New() *State { return &State{broken: map[string][]doubt{}, crashes: map[uint64][]crash{}} }
+func New() *State {
+	worked, _ := simplelru.NewLRU[uint64, struct{}](maxEntries, nil)
+	return &State{broken: map[string][]doubt{}, crashes: map[uint64][]crash{}, worked: worked}
+}
+
+// Worked notes that a target has answered a request. The same request is then
+// innocent of what targets die of while they run it: many callers may send it.
+func (s *State) Worked(request uint64) {
+	s.worked.Add(request, struct{}{})
+	delete(s.crashes, request)
+}
 
 // Broke notes that a target's connection broke while it ran a request.
 func (s *State) Broke(now time.Time, request uint64, target string) {
@@ -89,7 +103,7 @@
 
 // charge holds a crash against a request and reports whether it is news.
 func (s *State) charge(request uint64, c crash) bool {
-	if len(s.crashes) >= maxEntries && s.crashes[request] == nil {
+	if s.worked.Contains(request) || len(s.crashes) >= maxEntries && s.crashes[request] == nil {
 		return false
 	}
 	for _, known := range s.crashes[request] {
--- a/internal/safety/blame/blame_test.go
+++ b/internal/safety/blame/blame_test.go
@@ -47,6 +47,21 @@
 				crash(s, start, 7, fmt.Sprint("t", i), 20*time.Second)
 			}
 		}, false},
+		"answered before": {func(s *blame.State) {
+			s.Worked(7)
+			for i := range 5 {
+				crash(s, start, 7, fmt.Sprint("t", i), time.Second)
+			}
+		}, false},
+		"answered in between": {func(s *blame.State) {
+			for i := range 2 {
+				crash(s, start, 7, fmt.Sprint("t", i), time.Second)
+			}
+			s.Worked(7)
+			for i := range 2 {
+				crash(s, start, 7, fmt.Sprint("u", i), time.Second)
+			}
+		}, false},
 		"neighbour of another request": {func(s *blame.State) {
 			for i := range 3 {
 				s.Broke(start, uint64(100+i), fmt.Sprint("t", i))
