Log a line when a client leaves before its answer

Cause: a client that left while its request waited had a counter and no line, so that its id led nowhere. The test of a client that leaves failed without it.

--- a/internal/gate/relay/answer.go
+++ b/internal/gate/relay/answer.go
@@ -185,6 +185,7 @@
 // giveUp ends a request that may have run and may not be sent again.
 func (h *Handler) giveUp(client context.Context, w http.ResponseWriter, j *job, b broken) {
 	if client.Err() != nil {
+		h.left(j)
 		return
 	}
 	if b.answer != nil && !j.stream.begun {
@@ -204,7 +205,7 @@
 // conclude ends a request for which no target was found.
 func (h *Handler) conclude(client context.Context, w http.ResponseWriter, j *job, err error) {
 	if client.Err() != nil {
-		h.meters.count("requests_left", "client")
+		h.left(j)
 		return
 	}
 	var known *fault.Error
@@ -241,6 +242,13 @@
 	_, _ = io.Copy(w, bytes.NewReader(body))
 }
 
+// left notes that the client of a request has gone before its answer was whole.
+func (h *Handler) left(j *job) {
+	h.meters.count("requests_left", "client")
+	h.options.Logger.Info("client left", "request", j.call.ID, "route", j.route.Name, "sendings", j.sent, "ran", j.ran,
+		"lastEvent", j.stream.last, "tookMs", time.Since(j.arrived).Milliseconds())
+}
+
 func (h *Handler) finished(j *job, status int) {
 	h.meters.count("requests_answered", strconv.Itoa(status))
 	h.meters.record("request_time", j.route.Name, time.Since(j.arrived))
--- a/internal/gate/relay/attempt.go
+++ b/internal/gate/relay/attempt.go
@@ -74,7 +74,7 @@
 			h.finished(j, r.status)
 			return
 		case gone:
-			h.meters.count("requests_left", "client")
+			h.left(j)
 			return
 		case notRun:
 			again = r.reason
--- a/internal/gate/relay/relay_test.go
+++ b/internal/gate/relay/relay_test.go
@@ -429,7 +429,10 @@
 }
 
 func TestTargetEndsWhenTheClientLeaves(t *testing.T) {
-	w := newWorld(t, []target{hanging})
+	lines := make(lineChannel, 100)
+	w := newWorld(t, []target{hanging}, func(o *relay.Options) {
+		o.Logger = hclog.New(&hclog.LoggerOptions{Output: lines, JSONFormat: true})
+	})
 	ctx, cancel := context.WithCancel(t.Context())
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, w.server.URL+"/stream/x", strings.NewReader("body"))
 	require.NoError(t, err)
@@ -449,6 +452,24 @@
 	case <-time.After(500 * time.Millisecond):
 		assert.Fail(t, "the target still works half a second later")
 	}
+	for {
+		select {
+		case line := <-lines:
+			if strings.Contains(line, `"client left"`) && strings.Contains(line, `"request":"r"`) {
+				return
+			}
+		case <-time.After(patient):
+			require.Fail(t, "no line tells that the client left")
+		}
+	}
+}
+
+// lineChannel passes log lines on.
+type lineChannel chan string
+
+func (c lineChannel) Write(line []byte) (int, error) {
+	c <- string(line)
+	return len(line), nil
 }
 
 func TestSecondSendingsKeepTheQuota(t *testing.T) {
