Look at a few of many engines, so that hosts don't herd

Ruled out: slow hosts (0.03 core used of 0.19) and full engines (3 running of 12).

Change: of more than 24 engines a request weighs up to three holders of its parts for each version, the one that should read a new part, and six at random; all of them if those have too much to do.

--- a/internal/gate/pick/choose.go
+++ b/internal/gate/pick/choose.go
@@ -60,6 +60,12 @@
 	// plainQueue is how many requests wait at a plain target for each slot
 	// before it refuses more.
 	plainQueue = 2
+	// manyTargets is the number of engines above which a request looks at some of
+	// them: at sampledHolders that hold the most of its parts for each version, and
+	// sampledOthers at random. TestManyHostsDoNotHerd simulates it with 140 engines.
+	manyTargets    = 24
+	sampledHolders = 3
+	sampledOthers  = 6
 	// minRetryAfter is the least pause that a refused client is asked to make.
 	minRetryAfter = 200 * time.Millisecond
 	// tokenText is the size of one output token on the wire, in bytes.
@@ -200,17 +206,56 @@
 // bestEngine chooses among model engines.
 func (s *State) bestEngine(now time.Time, open []*target, r Request) option {
 	chains := map[uint64][]part{}
-	named := s.wanted[r.Prompt.Model]
-	best := option{cost: math.Inf(1)}
 	owners := s.owners(open, r, chains)
 	known := map[uint64]*holdings{}
 	for _, t := range open {
 		version := t.Versions[r.Prompt.Model]
-		parts := s.chainOf(chains, r, version)
 		if known[version] == nil {
-			known[version] = s.holdingsOf(now, r, version, parts[:len(r.Prompt.Shared())])
+			known[version] = s.holdingsOf(now, r, version, s.chainOf(chains, r, version)[:len(r.Prompt.Shared())])
+		}
+	}
+	best := option{cost: math.Inf(1), crowded: true}
+	if len(open) > manyTargets {
+		best = s.bestOf(now, s.sample(open, owners, known), r, chains, owners, known)
+	}
+	if best.crowded {
+		best = s.bestOf(now, open, r, chains, owners, known)
+	}
+	return best
+}
+
+// sample returns some targets of many: engines that hold the most, those that
+// should read a new part, and others at random. Nodes that all see the same
+// target as the best one, by figures of before each other's choice, must not all
+// choose it.
+func (s *State) sample(open []*target, owners map[uint64]*target, known map[uint64]*holdings) []*target {
+	picked := make([]*target, 0, sampledHolders+sampledOthers+len(owners))
+	add := func(t *target) {
+		if !slices.Contains(picked, t) {
+			picked = append(picked, t)
 		}
-		o := s.weigh(now, t, r, version, parts, known[version])
+	}
+	for _, h := range known {
+		for range min(sampledHolders, len(h.holders)) {
+			add(h.holders[s.random.IntN(len(h.holders))])
+		}
+	}
+	for _, owner := range owners {
+		add(owner)
+	}
+	for range sampledOthers {
+		add(open[s.random.IntN(len(open))])
+	}
+	return slices.DeleteFunc(picked, func(t *target) bool { return !slices.Contains(open, t) })
+}
+
+// bestOf chooses among some engines.
+func (s *State) bestOf(now time.Time, among []*target, r Request, chains map[uint64][]part, owners map[uint64]*target, known map[uint64]*holdings) option {
+	named := s.wanted[r.Prompt.Model]
+	best := option{cost: math.Inf(1)}
+	for _, t := range among {
+		version := t.Versions[r.Prompt.Model]
+		o := s.weigh(now, t, r, version, s.chainOf(chains, r, version), known[version])
 		if since, old := named.replaced(version); old && now.Sub(since) > oldGrace {
 			o.cost += oldCost
 		}
--- a/internal/gate/pick/holdings.go
+++ b/internal/gate/pick/holdings.go
@@ -7,6 +7,8 @@
 	// most is the largest number of their tokens that any engine is believed to
 	// hold.
 	most int
+	// holders are the engines that hold so many.
+	holders []*target
 	// best is the holder of the most tokens that can be copied, near the same for
 	// each data centre.
 	best holder
@@ -29,7 +31,12 @@
 			continue
 		}
 		all, sure := t.cache.depth(shared)
-		h.most = max(h.most, all)
+		if all > h.most {
+			h.most, h.holders = all, h.holders[:0]
+		}
+		if all > 0 && all == h.most {
+			h.holders = append(h.holders, t)
+		}
 		h.add(holder{tokens: sure, address: t.Address, centre: t.DataCentre})
 	}
 	for _, st := range s.stores {
