--- a/internal/tool/soak/soak_test.go
+++ b/internal/tool/soak/soak_test.go
@@ -29,9 +29,10 @@
 	seed           uint64
 	seconds, hosts int
 }{
-	"a SIGHUP ended a process that had just started":             {8, 12, 5},
-	"requests that many callers send were blamed for crashes":    {9, 12, 5},
-	"the same, while hosts lost the store and an engine crashed": {108, 12, 5},
+	"a SIGHUP ended a process that had just started":          {8, 12, 5},
+	"requests that many callers send were blamed for crashes": {9, 12, 5},
+	"the stand-in of a target that left put itself back":      {203, 10, 5},
+	"the same blame, while hosts lost the store":              {108, 12, 5},
 }
 
 const (
