Don't leave a 408 behind a refusal that came before the body

The 408 stood on the connection as the answer to the next request. Ruled out: the time for heads (seconds) and bodies (the handler ran). TestRefusalBeforeTheBodyLeavesNoAnswerBehind failed before.

--- a/internal/entry/limit/conn.go
+++ b/internal/entry/limit/conn.go
@@ -34,6 +34,8 @@
 	net.Conn
 	handling atomic.Bool
 	partial  atomic.Bool
+	// stopped is true while net/http itself ends a read.
+	stopped atomic.Bool
 }
 
 // NetConn returns the connection below.
@@ -45,13 +47,21 @@
 	if n > 0 {
 		c.partial.Store(true)
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.partial.Load() && !c.handling.Load() {
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.partial.Load() && !c.handling.Load() && !c.stopped.Load() {
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(replyTimeout))
 		_, _ = c.Conn.Write([]byte(timeoutReply))
 	}
 	return n, err
 }
 
+// SetReadDeadline implements [net.Conn]. net/http ends its own reads by a deadline
+// in the past, which says nothing of the client: an answer to it would be taken
+// for that to the client's next request.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.stopped.Store(!t.IsZero() && !t.After(time.Now()))
+	return c.Conn.SetReadDeadline(t)
+}
+
 // finish marks the end of a request: nothing of the next one has come yet.
 func (c *conn) finish() {
 	c.partial.Store(false)
--- a/internal/entry/limit/limit_test.go
+++ b/internal/entry/limit/limit_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -101,3 +102,44 @@
 	require.NoError(t, err)
 	assert.Equal(t, http.StatusRequestTimeout, response.StatusCode)
 }
+
+// TestRefusalBeforeTheBodyLeavesNoAnswerBehind: a handler answers before it has
+// read the body, and the body comes after the head. The next request on the
+// connection must get its own answer.
+func TestRefusalBeforeTheBodyLeavesNoAnswerBehind(t *testing.T) {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/early" {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = fmt.Fprint(w, r.URL.Path)
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := limit.Server(handler, local.Limits{})
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(limit.Listen(listener)) }()
+	defer func() {
+		_ = server.Close()
+		<-ended
+	}()
+	connection, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = connection.Close() }()
+	reader := bufio.NewReader(connection)
+	for i := range 20 {
+		for path, status := range map[string]int{"/early": http.StatusServiceUnavailable, fmt.Sprint("/", i): http.StatusOK} {
+			_, err := io.WriteString(connection, "POST "+path+" HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\n")
+			require.NoError(t, err)
+			time.Sleep(2 * time.Millisecond)
+			_, err = io.WriteString(connection, "abc")
+			require.NoError(t, err)
+			response, err := http.ReadResponse(reader, nil)
+			require.NoError(t, err)
+			require.Equal(t, status, response.StatusCode, path)
+			_, err = io.Copy(io.Discard, response.Body)
+			require.NoError(t, err)
+		}
+	}
+}
