Test how a feed relies on another host, and don't spin at the age's very end

Cause: a word exactly as old as it may be was taken and waited for by no time at all; TestFeedReliesOnFreshWordAlone hung on it in virtual time. Hosts of small fleets rely on nobody.

--- a/internal/gate/feed/feed.go
+++ b/internal/gate/feed/feed.go
@@ -216,7 +216,7 @@
 		return false
 	}
 	version, age, ok := f.options.Upstream(f.options.Table)
-	if !ok || age > upstreamAge {
+	if !ok || age >= upstreamAge {
 		return false
 	}
 	if version > f.Version() && !f.askPeers(ctx) {
--- a/internal/gate/peers/mesh_test.go
+++ b/internal/gate/peers/mesh_test.go
@@ -53,7 +53,7 @@
 					h.picks.Hear(time.Now(), from, message.Report)
 				}
 			},
-			Drop: h.picks.Drop, Tables: func() map[string]Known { return nil }, Told: func() {},
+			Drop: h.picks.Drop, Tables: func() map[string]Known { return map[string]Known{"t": {Version: 7, Age: time.Second}} }, Told: func() {},
 			Scope: tally.NoopScope, Logger: hclog.NewNullLogger(),
 		})
 		h.picks.Start(time.Now(), pick.Request{}, pick.Go{Target: roster.Target{ID: "e"}})
@@ -135,6 +135,12 @@
 				for _, h := range m.hosts {
 					assert.Equal(t, nodes, h.Nodes())
 					assert.Len(t, h.Up(time.Now()), nodes-1)
+					known, relies := h.Upstream("t")
+					assert.Equal(t, h.Parent() != "", relies, "only nodes that are told hear of tables")
+					if relies {
+						assert.Equal(t, uint64(7), known.Version)
+						assert.Less(t, known.Age, time.Second+2*treeInterval)
+					}
 				}
 				if nodes <= fewForTest {
 					return
