--- a/internal/gate/peers/mesh_test.go
+++ b/internal/gate/peers/mesh_test.go
@@ -132,33 +132,44 @@
 				rate := float64(m.messages) / 2
 				t.Logf("%d nodes: %.0f messages a second", nodes, rate)
 				assert.LessOrEqual(t, rate, max(2300, 9*float64(nodes)))
-				for _, h := range m.hosts {
-					assert.Equal(t, nodes, h.Nodes())
-					assert.Len(t, h.Up(time.Now()), nodes-1)
-					known, relies := h.Upstream("t")
-					assert.Equal(t, h.Parent() != "", relies, "only nodes that are told hear of tables")
-					if relies {
-						assert.Equal(t, uint64(7), known.Version)
-						assert.Less(t, known.Age, time.Second+2*treeInterval)
-					}
+				m.assertKnown(t)
+				if nodes > fewForTest {
+					m.assertSurvives(t)
 				}
-				if nodes <= fewForTest {
-					return
-				}
-				for _, h := range m.hosts {
-					h.down = h.Leads()
-				}
-				m.run(5 * time.Second)
-				assert.Empty(t, m.wrong(), "after all that tell others died")
-				for _, h := range m.hosts {
-					h.down = false
-				}
-				m.run(10 * time.Second)
-				assert.Empty(t, m.wrong(), "after they came back")
 			})
 		})
 	}
 }
 
+// assertKnown checks what each node knows of the others and of the tables.
+func (m *mesh) assertKnown(t *testing.T) {
+	t.Helper()
+	for _, h := range m.hosts {
+		assert.Equal(t, len(m.hosts), h.Nodes())
+		assert.Len(t, h.Up(time.Now()), len(m.hosts)-1)
+		known, relies := h.Upstream("t")
+		assert.Equal(t, h.Parent() != "", relies, "only nodes that are told hear of tables")
+		if relies {
+			assert.Equal(t, uint64(7), known.Version)
+			assert.Less(t, known.Age, time.Second+2*treeInterval)
+		}
+	}
+}
+
+// assertSurvives lets all nodes that tell others die and come back.
+func (m *mesh) assertSurvives(t *testing.T) {
+	t.Helper()
+	for _, h := range m.hosts {
+		h.down = h.Leads()
+	}
+	m.run(5 * time.Second)
+	assert.Empty(t, m.wrong(), "after all that tell others died")
+	for _, h := range m.hosts {
+		h.down = false
+	}
+	m.run(10 * time.Second)
+	assert.Empty(t, m.wrong(), "after they came back")
+}
+
 // fewForTest is the largest mesh in which nobody tells others.
 const fewForTest = 12
