--- a/internal/entry/limit/limit_test.go
+++ b/internal/entry/limit/limit_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -107,7 +106,9 @@
 // read the body, and the body comes after the head. The next request on the
 // connection must get its own answer.
 func TestRefusalBeforeTheBodyLeavesNoAnswerBehind(t *testing.T) {
+	called := make(chan struct{}, 1)
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		called <- struct{}{}
 		if r.URL.Path == "/early" {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -132,7 +133,7 @@
 		for path, status := range map[string]int{"/early": http.StatusServiceUnavailable, fmt.Sprint("/", i): http.StatusOK} {
 			_, err := io.WriteString(connection, "POST "+path+" HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\n")
 			require.NoError(t, err)
-			time.Sleep(2 * time.Millisecond)
+			<-called
 			_, err = io.WriteString(connection, "abc")
 			require.NoError(t, err)
 			response, err := http.ReadResponse(reader, nil)
--- a/internal/gate/host/host.go
+++ b/internal/gate/host/host.go
@@ -16,6 +16,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/cicadamill/cicadamill/internal/config/local"
+	"github.com/cicadamill/cicadamill/internal/entry/side"
 	"github.com/cicadamill/cicadamill/internal/gate/caches"
 	"github.com/cicadamill/cicadamill/internal/gate/call"
 	"github.com/cicadamill/cicadamill/internal/gate/desk"
@@ -250,18 +251,18 @@
 }
 
 // sideListeners are the listeners beside that for clients.
-func (h *Host) sideListeners() map[string]side {
-	all := map[string]side{"ready": {address: h.settings.Ready, handler: http.HandlerFunc(h.serveReady)}}
+func (h *Host) sideListeners() map[string]sideListener {
+	all := map[string]sideListener{"ready": {address: h.settings.Ready, handler: http.HandlerFunc(h.serveReady)}}
 	if h.settings.Peer != "" {
-		all["peers"] = side{address: h.settings.Peer, handler: h.peers}
+		all["peers"] = sideListener{address: h.settings.Peer, handler: h.peers}
 	}
 	if h.settings.Metrics != "" {
-		all["metrics"] = side{address: ":" + h.settings.Metrics, handler: h.meter.Handler()}
+		all["metrics"] = sideListener{address: ":" + h.settings.Metrics, handler: h.meter.Handler()}
 	}
 	return all
 }
 
-type side struct {
+type sideListener struct {
 	address string
 	handler http.Handler
 }
@@ -269,23 +270,13 @@
 // sideTimeout bounds the head of a request on the listeners beside the clients'.
 const sideTimeout = 2 * time.Second
 
-func (h *Host) serveSide(ctx context.Context, name string, s side) error {
+func (h *Host) serveSide(ctx context.Context, name string, s sideListener) error {
 	listener, err := net.Listen("tcp", s.address)
 	if err != nil {
 		h.logger.Error("can't listen", "listener", name, "address", s.address, "error", err)
 		return errors.Annotatef(err, "listening for %s", name)
 	}
-	server := &http.Server{Handler: s.handler, ReadHeaderTimeout: sideTimeout}
-	ended := make(chan error, 1)
-	go func(context.Context) { ended <- server.Serve(listener) }(ctx)
-	select {
-	case err := <-ended:
-		return err
-	case <-ctx.Done():
-		_ = server.Close()
-		<-ended
-		return ctx.Err()
-	}
+	return side.Serve(ctx, listener, s.handler, sideTimeout)
 }
 
 func (h *Host) serveReady(w http.ResponseWriter, _ *http.Request) {
--- /dev/null
+++ b/internal/gate/roster/export_test.go
@@ -0,0 +1,4 @@
+package roster
+
+// Remembered returns how many targets something is known of, gone ones included.
+func (s *State) Remembered() int { return len(s.versions) }
--- a/internal/gate/roster/roster.go
+++ b/internal/gate/roster/roster.go
@@ -153,6 +153,3 @@
 
 // Targets returns all targets of the list.
 func (s *State) Targets() map[string]Target { return maps.Clone(s.targets) }
-
-// Remembered returns how many targets something is known of, gone ones included.
-func (s *State) Remembered() int { return len(s.versions) }
--- a/internal/standin/solo/solo.go
+++ b/internal/standin/solo/solo.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/cicadamill/cicadamill/internal/entry/side"
 )
 
 const (
@@ -42,16 +44,10 @@
 	if _, err := fmt.Fprintln(out, "listening", listener.Addr()); err != nil {
 		return err
 	}
-	server := &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout}
-	ended := make(chan error, 1)
-	go func(context.Context) { ended <- server.Serve(listener) }(ctx)
-	select {
-	case err := <-ended:
-		return err
-	case <-ctx.Done():
+	err = side.Serve(ctx, listener, s.handler, headerTimeout)
+	if ctx.Err() != nil {
+		return nil
 	}
-	err = server.Close()
-	<-ended
 	return err
 }
 
