Judge a refusal by virtual time, and the kernel's end of a process by more than a second

TestRefusalsOfTheHostsOwn/no time left: its 5 ms ran on the wall clock, so that a pause of 2.5 ms in the handler gave another code. A SIGKILL promises nothing of ours; the wait is now that for a SIGTERM. The promises keep their bounds.

--- a/internal/gate/relay/relay_test.go
+++ b/internal/gate/relay/relay_test.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -406,9 +407,12 @@
 			r.Host = "a.example"
 			r.Header.Set("Id", "r")
 			r.Header.Set("Key", "k")
-			recorder := httptest.NewRecorder()
-			w.server.Config.Handler.ServeHTTP(recorder, r)
-			assert.Equal(t, test.code, recorder.Header().Get(fault.CodeHeader))
+			// In virtual time, since a few milliseconds decide what is said.
+			synctest.Test(t, func(t *testing.T) {
+				recorder := httptest.NewRecorder()
+				w.server.Config.Handler.ServeHTTP(recorder, r)
+				assert.Equal(t, test.code, recorder.Header().Get(fault.CodeHeader))
+			})
 			assert.Zero(t, w.arrivals.Load())
 		})
 	}
--- a/internal/tool/soak/fleet_test.go
+++ b/internal/tool/soak/fleet_test.go
@@ -110,7 +110,7 @@
 func (f *fleet) close() {
 	for _, p := range f.hosts {
 		p.signal(syscall.SIGCONT)
-		_ = p.end(syscall.SIGKILL, time.Second)
+		_ = p.end(syscall.SIGKILL, endPatience)
 	}
 	for _, t := range f.targets {
 		t.proxy.close()
@@ -181,7 +181,7 @@
 	switch s.kind {
 	case killHost:
 		over := f.judge.trouble(name)
-		f.judge.note(p.end(syscall.SIGKILL, time.Second))
+		f.judge.note(p.end(syscall.SIGKILL, endPatience))
 		time.Sleep(restartTime)
 		f.judge.note(p.start())
 		over()
