Say that a request on a closed idle connection has not run

Cause: when a kept connection to a node turned out closed before anything was written, net/http dialled again, and the refusal of that second connection was reported as an unknown outcome, because the first one had counted as made. Change: each request for a connection resets what is known of the one before. Result: TestClosedIdleConnectionDidNotRun failed before and passes.

--- a/internal/peer/hop/client.go
+++ b/internal/peer/hop/client.go
@@ -54,8 +54,8 @@
 type LostError struct {
 	// Address is the other node.
 	Address string
-	// Outcome is [effect.NotRun] if no connection to the node was made, and
-	// otherwise [effect.Unknown].
+	// Outcome is [effect.NotRun] if the request was sent on no connection to the
+	// node, and otherwise [effect.Unknown].
 	Outcome effect.Outcome
 	// Cause is the underlying error.
 	Cause error
@@ -136,7 +136,12 @@
 }
 
 func (a *attempt) send(cell string, body []byte) (*http.Response, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { a.connected.Store(true) }}
+	// The HTTP client asks for a second connection only if it has written nothing
+	// to the first one, an idle connection that the node had closed.
+	trace := &httptrace.ClientTrace{
+		GetConn: func(string) { a.connected.Store(false) },
+		GotConn: func(httptrace.GotConnInfo) { a.connected.Store(true) },
+	}
 	ctx := httptrace.WithClientTrace(a.ctx, trace)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, a.client.scheme+"://"+a.address+Path, bytes.NewReader(body))
 	if err != nil {
--- a/internal/peer/hop/hop_test.go
+++ b/internal/peer/hop/hop_test.go
@@ -6,8 +6,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -137,6 +139,44 @@
 	assert.IsType(t, effect.NotRun{}, lost.Outcome)
 }
 
+// closedConn is a connection whose writes fail once closed is set.
+type closedConn struct {
+	net.Conn
+	closed *atomic.Bool
+}
+
+func (c closedConn) Write(data []byte) (int, error) {
+	if c.closed.Load() {
+		return 0, errors.New("closed by the other end")
+	}
+	return c.Conn.Write(data)
+}
+
+// TestClosedIdleConnectionDidNotRun forwards a request to a node that has ended
+// since the last one, while the kept connection to it still seems open.
+func TestClosedIdleConnectionDidNotRun(t *testing.T) {
+	server := httptest.NewServer(hop.Handler(answer))
+	defer server.Close()
+	address := server.Listener.Addr().String()
+	var closed atomic.Bool
+	transport := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		if closed.Load() {
+			return nil, errors.New("connection refused")
+		}
+		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return closedConn{Conn: c, closed: &closed}, err
+	}}
+	defer transport.CloseIdleConnections()
+	c := hop.New("http", &http.Client{Transport: transport}, hop.Options{})
+	var events []string
+	require.NoError(t, c.Run(t.Context(), address, "c", job.Job{}, collect(&events)))
+	closed.Store(true)
+	err := c.Run(t.Context(), address, "c", job.Job{}, collect(&events))
+	var lost *hop.LostError
+	require.ErrorAs(t, err, &lost)
+	assert.IsType(t, effect.NotRun{}, lost.Outcome)
+}
+
 // TestSlowNodeIsGivenUp checks that a request to a node that doesn't accept it,
 // or sends nothing after that, fails within the limit and is cancelled at the
 // node.
