Take a leaving node off the homes at once

The other node had the note of the leaving one, but assigns homes every 500 ms, and still forwarded to it: in all runs the connection was refused, and in 1 of 96 a kept connection was closed under the request (EOF), whose outcome is unknown. A planned stop may thus cut a request that was just accepted elsewhere; the test is right. Change: a note that says that a node is leaving makes the next request assign the homes first.

--- a/internal/fleet/member/command.go
+++ b/internal/fleet/member/command.go
@@ -5,7 +5,8 @@
 )
 
 // Command is an action for the shell. It is one of [Exchange], [Reply],
-// [RequestProbe], [NewerConfig], [TargetLeaving], [CrashReceived] or [Count].
+// [RequestProbe], [NewerConfig], [NodeLeaving], [TargetLeaving], [CrashReceived] or
+// [Count].
 type Command interface{ command() }
 
 // Exchange sends a note to a node. The shell returns the response as
@@ -45,6 +46,12 @@
 	Address string
 }
 
+// NodeLeaving reports that another node has announced that it is shutting down.
+type NodeLeaving struct {
+	// Name is the other node.
+	Name string
+}
+
 // TargetLeaving reports a mark received from another node.
 type TargetLeaving struct {
 	// Mark names the target and its incarnation.
@@ -67,6 +74,7 @@
 func (Reply) command()         {}
 func (RequestProbe) command()  {}
 func (NewerConfig) command()   {}
+func (NodeLeaving) command()   {}
 func (TargetLeaving) command() {}
 func (CrashReceived) command() {}
 func (Count) command()         {}
--- a/internal/fleet/member/merge.go
+++ b/internal/fleet/member/merge.go
@@ -148,6 +148,9 @@
 	default:
 		t.recordRecovery(p, old)
 	}
+	if e.State == note.Leaving {
+		t.emit(NodeLeaving{Name: e.Name})
+	}
 	t.enqueueEntry(p, e.State == note.Leaving || old.State == note.Dead || old.State == note.Suspect && e.State == note.Alive)
 }
 
--- a/internal/node/gossip/gossip.go
+++ b/internal/node/gossip/gossip.go
@@ -68,6 +68,9 @@
 	state       member.View
 	homes       homes.Ranker
 	refreshedAt time.Time
+	// homesStale is true after a node has announced that it is leaving, until the
+	// homes are assigned again.
+	homesStale bool
 	// logged holds the state of each node in its last log message.
 	logged map[string]string
 	// lookedUp holds the leaving targets of the host list, with true for those
@@ -130,7 +133,11 @@
 		}
 	}
 	g.update(member.Tick{})
-	g.refresh(time.Now())
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if now := time.Now(); now.Sub(g.refreshedAt) >= homesInterval {
+		g.refresh(now)
+	}
 }
 
 // update passes a message to the state machine and executes the commands. It
@@ -182,6 +189,10 @@
 		if g.options.OnNewerVersion != nil {
 			g.options.OnNewerVersion(c.Version, c.Address)
 		}
+	case member.NodeLeaving:
+		g.mu.Lock()
+		g.homesStale = true
+		g.mu.Unlock()
 	case member.TargetLeaving:
 		g.options.Scope.Counter("target_marks_heard").Inc(1)
 		if g.options.OnTargetLeaving != nil {
@@ -252,7 +263,9 @@
 // its cells.
 func (g *Gossip) Leave() {
 	g.update(member.Leave{})
-	g.refresh(time.Now().Add(homesInterval))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.refresh(time.Now())
 }
 
 // AnnounceVersion announces the configuration version that this node has in force.
@@ -289,12 +302,17 @@
 	return g.state.Nodes()
 }
 
-// Homes implements [steer.Fleet].
+// Homes implements [steer.Fleet]. It never returns a node that has announced to this
+// one that it is leaving: such a node may close its connections at any moment.
 func (g *Gossip) Homes(cell, dataCentre string, count int) []steer.Home {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := time.Now()
+	if g.homesStale {
+		g.refresh(now)
+	}
 	var found []steer.Home
-	for _, name := range g.homes.Rank(time.Now(), cell, dataCentre, count) {
+	for _, name := range g.homes.Rank(now, cell, dataCentre, count) {
 		address, self := g.state.Address(name)
 		found = append(found, steer.Home{Name: name, Address: address, Self: self})
 	}
@@ -304,20 +322,14 @@
 // ReportFailure implements [steer.Fleet].
 func (g *Gossip) ReportFailure(name string) { g.update(member.NodeUnreachable{Name: name}) }
 
-// refresh updates the home nodes, the gauges and the log, at most once per
-// homesInterval. Leave passes a time in the future to refresh at once.
+// refresh updates the home nodes, the gauges and the log. The caller holds the
+// lock.
 func (g *Gossip) refresh(now time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if now.Sub(g.refreshedAt) < homesInterval {
-		return
-	}
-	g.refreshedAt = now
+	g.refreshedAt, g.homesStale = now, false
 	candidates := g.candidates()
-	current := time.Now()
-	g.homes = g.homes.Update(current, candidates)
+	g.homes = g.homes.Update(now, candidates)
 	if g.options.Cells != nil {
-		g.homes = g.homes.Balance(current, g.options.Cells())
+		g.homes = g.homes.Balance(now, g.options.Cells())
 	}
 	up := 0
 	for _, c := range candidates {
