Time the order lease by the boot-time clock

Cause: the lease took the longer of the monotonic and the wall clock, so that a suspension counts. Where the time of day jumps (clock_step) this compares it over the jump: forward, a release told a longer silence than there was, and the next holder could order within the least time between two holders; backward, a holder that was suspended as well took a lapsed lease for held. Change: lease and orders read the boot-time clock, which counts suspensions and never steps.

--- a/internal/gate/host/host.go
+++ b/internal/gate/host/host.go
@@ -102,6 +102,8 @@
 	Engines drain.Engines
 	// Caches reads the cache events of engines and stores.
 	Caches caches.Client
+	// Now reads the boot-time clock of the host, which times the order lease.
+	Now func() time.Time
 	// OwnTable is the name of the gateway's own table in Source.
 	OwnTable string
 	// OperatorTable is the table that operators write to, TargetTable the list of
--- a/internal/gate/host/state.go
+++ b/internal/gate/host/state.go
@@ -62,7 +62,7 @@
 	bounds := h.settings.Bounds
 	return orders.Options{
 		Host: h.settings.Name, Config: h.drainer.Config, Dial: h.drainer.Dial, Table: h.platform.Table, Term: bounds.Lease * leaseTermPercent / 100, OrderTimeout: orderTimeout,
-		HandoverDelay: bounds.Lease, Competes: h.competesForLease, ReportInterval: orderInterval, IdleReportInterval: orderInterval,
+		Now: h.platform.Now, HandoverDelay: bounds.Lease, Competes: h.competesForLease, ReportInterval: orderInterval, IdleReportInterval: orderInterval,
 		Limits: order.Options{
 			MaxLoads: minConcurrentLoads, EnginesPerLoad: enginesPerLoad, LoadTimeout: loadTimeout, ReportDelay: settleTime, MaxAge: maxReportAge,
 			DrainTimeout: drainTime, RetryForever: true,
--- a/internal/node/orders/orders.go
+++ b/internal/node/orders/orders.go
@@ -52,6 +52,9 @@
 	// IdleReportInterval is the time between two reads while every engine serves what
 	// is configured.
 	IdleReportInterval time.Duration
+	// Now reads the clock that the lease and the orders are timed by; see package
+	// lease for what it must count.
+	Now func() time.Time
 	// Limits limit the number and the rate of orders.
 	Limits order.Options
 	// Scope receives the metrics.
@@ -82,6 +85,7 @@
 //
 //	options := orders.DefaultOptions
 //	options.Table, options.Config, options.Dial = client, applied.Config, dial
+//	options.Now = clock.Now
 //	supervisor.Add(orders.New(options))
 func New(options Options) *Sender { return &Sender{options: options} }
 
@@ -117,7 +121,7 @@
 func (s *Sender) updateHeld() bool {
 	grant := s.lease.Grant()
 	s.granted.Store(&grant)
-	held := grant.Covers(time.Now(), 0)
+	held := grant.Covers(s.options.Now(), 0)
 	gauge := 0.0
 	if held {
 		gauge = 1
@@ -191,7 +195,7 @@
 // It is safe for concurrent use.
 func (s *Sender) Fence() uint64 {
 	grant := s.granted.Load()
-	if grant == nil || !grant.Covers(time.Now(), 0) {
+	if grant == nil || !grant.Covers(s.options.Now(), 0) {
 		return 0
 	}
 	return grant.Fence
@@ -203,7 +207,7 @@
 func (s *Sender) runLease(ctx context.Context, message lease.Message) {
 	for message != nil {
 		var commands []lease.Command
-		s.lease, commands = s.lease.Update(time.Now(), message)
+		s.lease, commands = s.lease.Update(s.options.Now(), message)
 		message = nil
 		for _, command := range commands {
 			message = s.executeLease(ctx, command)
--- a/internal/node/orders/orders_test.go
+++ b/internal/node/orders/orders_test.go
@@ -30,6 +30,9 @@
 // cluster is a site in one process: engines behind in-memory connections, a
 // table, and nodes.
 type cluster struct {
+	// suspended is the total time for which the nodes were suspended, in nanoseconds.
+	// Only the boot-time clock counts it.
+	suspended atomic.Int64
 	t           *testing.T
 	table       *tables.Store
 	scope       tally.TestScope
@@ -124,6 +127,7 @@
 	}}
 	options := orders.DefaultOptions
 	options.Table, options.Scope, options.Logger = c.table, c.scope, hclog.NewNullLogger()
+	options.Now = func() time.Time { return time.Now().Add(time.Duration(c.suspended.Load())) }
 	options.Config = func() site.Config { return *c.config.Load() }
 	options.Dial = func(name string) (engine.Client, bool) {
 		return remote.New(name, &http.Client{Transport: transport}), true
@@ -301,6 +305,26 @@
 	}
 }
 
+// TestSuspendedHolderSendsNothing suspends a node after it has decided to send an
+// order and before the first byte, for longer than its lease. The monotonic clock
+// doesn't count that time.
+func TestSuspendedHolderSendsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, false)
+		stop := c.node(func() {
+			if c.config.Load().Models[0].WeightVersion == "2" {
+				c.suspended.Add(int64(orders.DefaultOptions.Term))
+			}
+		})
+		time.Sleep(30 * time.Second)
+		c.setVersion("2")
+		time.Sleep(time.Minute)
+		assert.Zero(t, c.ordersReceived())
+		stop()
+		c.stop()
+	})
+}
+
 func TestFencingTokens(t *testing.T) {
 	tests := map[string]struct {
 		checks bool
--- a/internal/node/orders/send.go
+++ b/internal/node/orders/send.go
@@ -48,7 +48,7 @@
 // every engine serves what is configured, it reads them only once per
 // [Options.IdleReportInterval].
 func (s *Sender) readReports(ctx context.Context) {
-	now, wanted := time.Now(), s.desired()
+	now, wanted := s.options.Now(), s.desired()
 	s.orders, _ = s.orders.Update(now, order.Configure{Engines: wanted})
 	if s.orders.Settled() && now.Sub(s.lastRead) < s.options.IdleReportInterval {
 		return
@@ -69,7 +69,7 @@
 	}
 	for range wanted {
 		if seen := <-reports; seen != nil {
-			s.orders, _ = s.orders.Update(time.Now(), *seen)
+			s.orders, _ = s.orders.Update(s.options.Now(), *seen)
 		}
 	}
 }
@@ -93,17 +93,17 @@
 func (s *Sender) sendOrders(ctx context.Context) {
 	grant := s.lease.Grant()
 	var commands []order.Command
-	s.orders, commands = s.orders.Update(time.Now(), order.Tick{})
+	s.orders, commands = s.orders.Update(s.options.Now(), order.Tick{})
 	results := make(chan order.Ended, len(commands))
 	for _, command := range commands {
 		if send, ok := command.(order.Send); ok {
-			s.lastOrder = time.Now()
+			s.lastOrder = s.options.Now()
 			go func(ctx context.Context) { results <- s.send(ctx, grant, send) }(ctx)
 		}
 	}
 	s.options.Scope.Gauge("orders_given_up").Update(float64(s.orders.FailedVersions()))
 	for range commands {
-		s.orders, _ = s.orders.Update(time.Now(), <-results)
+		s.orders, _ = s.orders.Update(s.options.Now(), <-results)
 	}
 }
 
@@ -118,7 +118,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.options.OrderTimeout)
 	defer cancel()
 	checked := egress.New(func() error {
-		if !grant.Covers(time.Now(), s.options.OrderTimeout) {
+		if !grant.Covers(s.options.Now(), s.options.OrderTimeout) {
 			return errLeaseExpiring
 		}
 		return nil
--- a/internal/node/server/orders.go
+++ b/internal/node/server/orders.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"github.com/cicadamill/cicadamill/internal/infra/boot"
 	"github.com/cicadamill/cicadamill/internal/infra/webtab"
 	"github.com/cicadamill/cicadamill/internal/node/orders"
 	"github.com/cicadamill/cicadamill/internal/target/egress"
@@ -13,11 +14,16 @@
 // orderSender returns the service that sends orders to engines while this node
 // holds the orders lease. It has an HTTP client of its own, whose connections
 // check the lease when they write to the socket.
-func (s *Server) orderSender() *orders.Sender {
+func (s *Server) orderSender() (*orders.Sender, error) {
+	clock, err := boot.New()
+	if err != nil {
+		return nil, err
+	}
 	client := &http.Client{Transport: &http.Transport{DialContext: egress.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout}}
 	options := orders.DefaultOptions
 	options.Config = s.applied.Config
 	options.Table = webtab.New(s.settings.TableAddress, client)
+	options.Now = clock.Now
 	options.Scope = s.telemetry.scope()
 	options.Logger = s.logger
 	options.Dial = func(name string) (engine.Client, bool) {
@@ -28,5 +34,5 @@
 		}
 		return nil, false
 	}
-	return orders.New(options)
+	return orders.New(options), nil
 }
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -101,6 +101,10 @@
 	if err != nil {
 		return err
 	}
+	orderSender, err := s.orderSender()
+	if err != nil {
+		return err
+	}
 	effects := s.openEffects()
 	defer effects.close()
 	handler := s.telemetry.wrapCallers(effects.wrap(front.New(s.settings.Name, s.servedConfig, s.telemetry.wrapRunner(s.fleet.forwarder), s.streams.frontOption)))
@@ -115,7 +119,7 @@
 	s.fleet.addTo(supervisor)
 	supervisor.Add(s.streams.guard)
 	supervisor.Add(s.poller())
-	supervisor.Add(s.orderSender())
+	supervisor.Add(orderSender)
 	if operators != nil {
 		supervisor.Add(operators)
 	}
--- a/internal/safety/lease/lease.go
+++ b/internal/safety/lease/lease.go
@@ -1,12 +1,16 @@
 // Package lease elects one process of a site as leader, by a lease in one row of
 // the table.
 //
-// It never compares the clocks of two hosts. The holder's term starts before it
-// sends the write that renews the lease. Other processes wait for the same term,
-// plus a margin for clock drift, from when they first read the current version of
-// the row; a renewal changes the version and restarts the wait. The fencing token
-// is derived from the row version that the new holder replaced, so it increases
-// with each holder and doesn't change on renewal.
+// It never compares the clocks of two hosts. Its own times must come from a clock
+// that counts the time for which the host was suspended and never steps, such as that
+// of package boot: a term must end while its holder is suspended, and a step of the
+// time of day must not make a holder's silence look longer than it was.
+//
+// The holder's term starts before it sends the write that renews the lease. Other
+// processes wait for the same term, plus a margin for clock drift, from when they
+// first read the current version of the row; a renewal changes the version and
+// restarts the wait. The fencing token is derived from the row version that the new
+// holder replaced, so it increases with each holder and doesn't change on renewal.
 package lease
 
 import (
@@ -55,7 +59,7 @@
 // Covers reports whether the lease is still held for the given time from now on.
 // It must be called right before each act.
 func (g Grant) Covers(now time.Time, need time.Duration) bool {
-	return g.Fence > 0 && elapsed(g.Since, now)+need < g.Term
+	return g.Fence > 0 && now.Sub(g.Since)+need < g.Term
 }
 
 type phase int
@@ -193,7 +197,7 @@
 	s.phase = writing
 	record := row.Record
 	record.Holder = ""
-	record.QuietMillis = max(0, min(elapsed(s.lastAct, now), maxQuiet)).Milliseconds()
+	record.QuietMillis = max(0, min(now.Sub(s.lastAct), maxQuiet)).Milliseconds()
 	return s, []Command{Write{Record: record, IfVersion: row.Version}}
 }
 
@@ -235,9 +239,3 @@
 	s.nextRead = s.sentAt.Add(s.renewInterval())
 	return s
 }
-
-// elapsed uses the monotonic or the wall clock, whichever gives more, so that it
-// includes the time for which a host was suspended.
-func elapsed(from, to time.Time) time.Duration {
-	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
-}
