Count the window of retries by the monotonic clock

Cause: the quota numbered its buckets by the time of day. A jump forward forgot the retries of the window, so that a host could use its part of the budget twice; after a jump backward both counts were of another span. Change: buckets count from the first reading.

--- a/internal/route/quota/quota.go
+++ b/internal/route/quota/quota.go
@@ -33,7 +33,10 @@
 
 // Quota counts one node's attempts at one service. See [New].
 type Quota struct {
-	bound  Bound
+	bound Bound
+	// origin is the first reading of the clock. Steps count from there, because the
+	// time between two readings doesn't change when the time of day does.
+	origin time.Time
 	window [buckets]bucket
 }
 
@@ -61,8 +64,13 @@
 	return true
 }
 
+// step returns the number of the bucket that a time belongs to. It begins at
+// buckets, so that no bucket of the window counts before it was used.
 func (q *Quota) step(now time.Time) int64 {
-	return now.UnixNano() / int64(max(q.bound.Window/(buckets-1), time.Millisecond))
+	if q.origin.IsZero() {
+		q.origin = now
+	}
+	return buckets + int64(max(now.Sub(q.origin), 0)/max(q.bound.Window/(buckets-1), time.Millisecond))
 }
 
 func (q *Quota) bucketAt(now time.Time) *bucket {
--- a/internal/route/quota/quota_test.go
+++ b/internal/route/quota/quota_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 	"time"
+	"unsafe"
 
 	"github.com/stretchr/testify/assert"
 
@@ -80,3 +81,40 @@
 	fmt.Println(q.AllowRetry(now, 1), q.AllowRetry(now, 1))
 	// Output: true false
 }
+
+// stepWallClock moves the time of day of a reading and leaves its monotonic part, as
+// a step of the host's clock does.
+func stepWallClock(reading time.Time, seconds int64) time.Time {
+	const secondsShift = 30 // of the wall part of a reading that has a monotonic part
+	parts := (*struct {
+		wall      uint64
+		monotonic int64
+		location  *time.Location
+	})(unsafe.Pointer(&reading))
+	parts.wall += uint64(seconds << secondsShift)
+	return reading
+}
+
+// TestClockStepsKeepTheWindow uses the quota up, steps the time of day and tries
+// again. Time passes only by the monotonic clock.
+func TestClockStepsKeepTheWindow(t *testing.T) {
+	for name, steps := range map[string][]int64{
+		"forward":               {12},
+		"backward":              {-12},
+		"forward and back":      {12, 0},
+		"backward and back":     {-12, 0},
+		"forward, then earlier": {3, -3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			q := quota.New(bound)
+			assert.Positive(t, useUp(q, now, 1))
+			for i, seconds := range steps {
+				later := stepWallClock(now.Add(time.Duration(i+1)*time.Second), seconds)
+				assert.Equal(t, time.Duration(i+1)*time.Second, later.Sub(now))
+				assert.Zero(t, useUp(q, later, 1))
+			}
+			assert.Positive(t, useUp(q, stepWallClock(now.Add(2*bound.Window), steps[len(steps)-1]), 1))
+		})
+	}
+}
