Keep every byte of a stream of events

Cause: the reader took what followed a full buffer for a line of its own. Where a line was as long as the buffer (4 KiB), its end counted as the blank line that ends an event: the event went out without its id and the blank line after it was lost, so that a stream resumed in the wrong place. Blank lines between events were dropped. Blank lines without end held the reader until the deadline. Change: a line is read whole; blank lines belong to the next event and count towards its bound. The case that wanted blank lines dropped is replaced by two that want every byte: an answer must reach the caller as the engine made it.

--- a/internal/gate/event/event.go
+++ b/internal/gate/event/event.go
@@ -41,38 +41,49 @@
 //	next, err := events.Next()
 func New(in io.Reader) *Reader { return &Reader{in: bufio.NewReaderSize(in, bufferBytes)} }
 
-// Next returns the next event. At the end of the stream the error is [io.EOF]
-// after a complete event, and [io.ErrUnexpectedEOF] within an event.
+// Next returns the next event. Blank lines before it belong to it, so that the
+// events together are the stream, byte for byte. At the end of the stream the error
+// is [io.EOF] after a complete event, and [io.ErrUnexpectedEOF] within an event.
 func (r *Reader) Next() (Event, error) {
 	r.raw = r.raw[:0]
-	id := ""
+	id, begun := "", false
 	for {
-		line, err := r.in.ReadSlice('\n')
-		r.raw = append(r.raw, line...)
-		if len(r.raw) > maxEventBytes {
-			return Event{}, ErrTooLarge
+		line, err := r.readLine()
+		if errors.Is(err, io.EOF) && len(r.raw) > 0 {
+			if begun || len(line) > 0 {
+				return Event{}, io.ErrUnexpectedEOF
+			}
+			return Event{Raw: r.raw}, nil
 		}
-		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
-			continue
-		case errors.Is(err, io.EOF) && len(r.raw) > 0:
-			return Event{}, io.ErrUnexpectedEOF
-		case err != nil:
+		if err != nil {
 			return Event{}, err
 		}
-		trimmed := bytes.TrimRight(line, "\r\n")
-		if len(trimmed) == 0 {
-			if len(bytes.TrimSpace(r.raw)) == 0 {
-				r.raw = r.raw[:0]
-				continue
-			}
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 && begun {
 			return Event{Raw: r.raw, ID: id}, nil
 		}
-		if value, ok := bytes.CutPrefix(trimmed, []byte("id:")); ok {
+		begun = begun || len(line) > 0
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			id = string(bytes.TrimSpace(value))
 		}
 	}
 }
 
+// readLine appends the next line to raw and returns it, with its end. A line may be
+// longer than the buffer.
+func (r *Reader) readLine() ([]byte, error) {
+	start := len(r.raw)
+	for {
+		part, err := r.in.ReadSlice('\n')
+		r.raw = append(r.raw, part...)
+		if len(r.raw) > maxEventBytes {
+			return nil, ErrTooLarge
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return r.raw[start:], err
+		}
+	}
+}
+
 // Buffered reports whether bytes of a further event have already been received.
 func (r *Reader) Buffered() bool { return r.in.Buffered() > 0 }
--- a/internal/gate/event/event_test.go
+++ b/internal/gate/event/event_test.go
@@ -18,6 +18,7 @@
 
 func TestNext(t *testing.T) {
 	long := strings.Repeat("x", 100_000)
+	line4096 := "data: " + strings.Repeat("x", 4090)
 	tests := map[string]struct {
 		text string
 		then error
@@ -32,7 +33,11 @@
 		"ends within an event": {text: "id: 2\ndata: b\n", end: io.ErrUnexpectedEOF},
 		"reset after an event": {text: "id: 1\n\n", then: errReset, raw: []string{"id: 1\n\n"}, ids: []string{"1"}, end: errReset},
 		"empty":                {end: io.EOF},
-		"blank lines between":  {text: "\n\nid: 1\n\n\n", raw: []string{"id: 1\n\n"}, ids: []string{"1"}, end: io.EOF},
+		"blank lines between":  {text: "\n\nid: 1\n\n\nid: 2\n\n", raw: []string{"\n\nid: 1\n\n", "\nid: 2\n\n"}, ids: []string{"1", "2"}, end: io.EOF},
+		"blank lines at end":   {text: "id: 1\n\n\n\r\n", raw: []string{"id: 1\n\n", "\n\r\n"}, ids: []string{"1", ""}, end: io.EOF},
+		"blank lines, no end":  {text: strings.Repeat("\n", 1<<20+1), end: event.ErrTooLarge},
+		"line as buffer":       {text: line4096 + "\nid: 5\n\n", raw: []string{line4096 + "\nid: 5\n\n"}, ids: []string{"5"}, end: io.EOF},
+		"id in a long line":    {text: line4096 + "id: 6\nid: 5\n\n", raw: []string{line4096 + "id: 6\nid: 5\n\n"}, ids: []string{"5"}, end: io.EOF},
 		"long line":            {text: "data: " + long + "\n\n", raw: []string{"data: " + long + "\n\n"}, ids: []string{""}, end: io.EOF},
 		"too large":            {text: strings.Repeat("data: "+long+"\n", 11), end: event.ErrTooLarge},
 	}
@@ -55,6 +60,32 @@
 	}
 }
 
+// vietnamese has letters with tone marks, both composed and decomposed.
+const vietnamese = "Khắc tên: Nguyễn Thị Thìa, “trăm năm hạnh phúc” – Kha\u0306\u0301c te\u0302n, Hội An"
+
+// TestTextIsUnchanged reads events of Vietnamese text whose lines end around the end
+// of the reader's buffer, in reads that end anywhere within a letter.
+func TestTextIsUnchanged(t *testing.T) {
+	for name, split := range map[string]func(io.Reader) io.Reader{
+		"one byte a read": iotest.OneByteReader, "half reads": iotest.HalfReader, "whole reads": func(r io.Reader) io.Reader { return r },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for padding := range 2 * len(vietnamese) {
+				text := fmt.Sprintf("id: 1\ndata: %s%s\n\nid: 2\ndata: %s\n\n", strings.Repeat(" ", 4096-len(vietnamese)-padding), vietnamese, vietnamese)
+				events := event.New(split(strings.NewReader(text)))
+				read := ""
+				for i := range 2 {
+					next, err := events.Next()
+					require.NoError(t, err)
+					require.Equal(t, fmt.Sprint(i+1), next.ID)
+					read += string(next.Raw)
+				}
+				require.Equal(t, text, read)
+			}
+		})
+	}
+}
+
 func ExampleReader_Next() {
 	events := event.New(strings.NewReader("id: 4\ndata: posts\n\n"))
 	next, _ := events.Next()
