Test that text reaches callers byte for byte

Vietnamese text with composed and decomposed tone marks in requests, answers, streams, streams resumed within a letter, refusals and failures.

--- a/internal/gate/proxy/proxy_test.go
+++ b/internal/gate/proxy/proxy_test.go
@@ -156,6 +156,7 @@
 	arrivals atomic.Int32
 	mu       sync.Mutex
 	headers  []http.Header
+	bodies   []string
 	ended    chan struct{}
 	poison   *poison.Counter
 	nodes    int
@@ -184,9 +185,10 @@
 		if serve != nil {
 			server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 				defer w.end()
-				_, _ = io.Copy(io.Discard, r.Body)
+				body, _ := io.ReadAll(r.Body)
 				w.mu.Lock()
 				w.headers = append(w.headers, r.Header.Clone())
+				w.bodies = append(w.bodies, string(body))
 				w.mu.Unlock()
 				serve(rw, r, int(w.arrivals.Add(1)))
 			}))
@@ -243,7 +245,12 @@
 
 func (w *fixture) send(t *testing.T, path string) reply {
 	t.Helper()
-	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, w.server.URL+path, strings.NewReader("body"))
+	return w.sendBody(t, path, "body")
+}
+
+func (w *fixture) sendBody(t *testing.T, path, text string) reply {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, w.server.URL+path, strings.NewReader(text))
 	require.NoError(t, err)
 	request.Host = "a.example"
 	request.Header.Set("Id", "r1")
@@ -330,6 +337,69 @@
 	}
 }
 
+// vietnamese has letters with tone marks, both composed and decomposed.
+const vietnamese = "Khắc tên: Nguyễn Thị Thìa, “trăm năm hạnh phúc” – Kha\u0306\u0301c te\u0302n, Hội An"
+
+// writeBytes sends each byte of a text by itself.
+func writeBytes(w http.ResponseWriter, text string) {
+	for i := range len(text) {
+		_, _ = io.WriteString(w, text[i:i+1])
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+// TestTextIsUnchanged sends Vietnamese text in requests, answers, streams and errors.
+// Targets send it byte by byte, and break off within a letter.
+func TestTextIsUnchanged(t *testing.T) {
+	const stream = "id: 1\ndata: " + vietnamese + "\n\nid: 2\ndata: " + vietnamese + "\n\n"
+	within := strings.LastIndex(stream, "ạ") + 1
+	events := func(w http.ResponseWriter, r *http.Request, _ int) {
+		seal(w, r)
+		text := stream
+		if r.Header.Get("Resume") == "1" {
+			text = stream[len(stream)/2:]
+		}
+		writeBytes(w, text)
+	}
+	cut := func(w http.ResponseWriter, r *http.Request, _ int) {
+		seal(w, r)
+		writeBytes(w, stream[:within])
+		panic(http.ErrAbortHandler)
+	}
+	answer := func(status int) target {
+		return func(w http.ResponseWriter, r *http.Request, _ int) {
+			seal(w, r)
+			w.WriteHeader(status)
+			writeBytes(w, vietnamese)
+		}
+	}
+	tests := map[string]struct {
+		path   string
+		target target
+		status int
+		want   string
+	}{
+		"answer":                         {"/safe/x", answer(200), 200, vietnamese},
+		"stream":                         {"/stream/x", events, 200, stream},
+		"stream resumed within a letter": {"/resume/x", first(cut, events), 200, stream},
+		"refusal by the target":          {"/once/x", answer(400), 400, vietnamese},
+		"failure of the target":          {"/once/x", answer(500), 500, vietnamese},
+		"failure instead of a stream":    {"/stream/x", answer(500), 500, vietnamese},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newFixture(t, []target{test.target, test.target})
+			got := w.sendBody(t, test.path, vietnamese)
+			require.NoError(t, got.err)
+			assert.Equal(t, test.status, got.status)
+			assert.Equal(t, test.want, got.body)
+			for _, body := range w.bodies {
+				assert.Equal(t, vietnamese, body)
+			}
+		})
+	}
+}
+
 func TestAuthenticationAndRouting(t *testing.T) {
 	w := newFixture(t, []target{good})
 	tests := map[string]struct {
