Find slow engines by what all hosts observe, and give them less work

Cause: latency was estimated for each service, not for each target. An engine that turned slow (srv_slow) lost work only as its queue grew, and its answers made the estimates of all others worse. One host sees an answer of each engine about every ten seconds, too little to judge by. Change: gate/pace adds up expected and actual times of the last one to two seconds over all hosts, compares each target with the median of its service, and returns to normal slowly when there is no evidence. Expected times are multiplied by the factor.

--- a/internal/gate/pick/choose.go
+++ b/internal/gate/pick/choose.go
@@ -169,16 +169,17 @@
 	for _, t := range eligible {
 		load, age := t.load(now)
 		slots := max(t.Slots, 1)
-		expected := requestTime
+		slowness := s.pace.Factor(now, t.ID)
+		expected := scale(requestTime, slowness)
 		if ahead := load.Running + 1 - slots; ahead > 0 {
-			expected += requestTime * time.Duration(ahead) / time.Duration(slots)
+			expected += expected * time.Duration(ahead) / time.Duration(slots)
 		}
 		cost := s.baseCost(now, t, r, expected) + loadCost*float64(load.Running)/float64(slots)
 		if t.DataCentre != s.options.DataCentre {
 			cost += crossZoneCost
 		}
 		if s.better(cost, best.cost) {
-			best = candidate{cost: cost, dispatch: Dispatch{Target: t.Target, Expected: expected, Load: load, Age: age}}
+			best = candidate{cost: cost, dispatch: Dispatch{Target: t.Target, Expected: expected, Load: load, Age: age, Slowness: slowness}}
 		}
 	}
 	return best
@@ -321,9 +322,11 @@
 	}
 	miss := max(r.Prompt.Tokens-cached-fetched, 0)
 	fetchTime := s.fetchTime(t, fetched, sameZone)
-	queueTime := v.perToken * time.Duration(load.Prefill)
-	expected := v.firstToken + fetchTime + queueTime + v.perToken*time.Duration(miss)
-	overloaded := queueTime > allowedWait(r.Objective, v.firstToken, v.perToken*time.Duration(miss))
+	slowness := s.pace.Factor(now, t.ID)
+	perToken, firstToken := scale(v.perToken, slowness), scale(v.firstToken, slowness)
+	queueTime := perToken * time.Duration(load.Prefill)
+	expected := firstToken + fetchTime + queueTime + perToken*time.Duration(miss)
+	overloaded := queueTime > allowedWait(r.Objective, firstToken, perToken*time.Duration(miss))
 	slots := max(t.Slots, 1)
 	cost := s.baseCost(now, t, r, expected) + loadCost*float64(load.Running)/float64(slots)
 	if load.Running >= slots {
@@ -345,7 +348,7 @@
 	}
 	return candidate{cost: cost, overloaded: overloaded, queueTime: queueTime, dispatch: Dispatch{
 		Target: t.Target, Version: version, Scope: scopeOf(version, r.Scope), FetchFrom: from, SaveTo: s.saveTo(parts, shared, cached, fetched),
-		Shared: sharedTokens, Cached: cached, Fetched: fetched, Expected: expected, Load: load, Age: age,
+		Shared: sharedTokens, Cached: cached, Fetched: fetched, Expected: expected, Load: load, Age: age, Slowness: slowness,
 	}}
 }
 
@@ -376,6 +379,10 @@
 	return st.Address
 }
 
+func scale(d time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(d) * factor)
+}
+
 func sum(parts []part) int {
 	total := 0
 	for _, p := range parts {
--- a/internal/gate/pick/herd_test.go
+++ b/internal/gate/pick/herd_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"github.com/cicadamill/cicadamill/internal/gate/oplog"
+	"github.com/cicadamill/cicadamill/internal/gate/pace"
 	"github.com/cicadamill/cicadamill/internal/gate/pick"
 	"github.com/cicadamill/cicadamill/internal/gate/plan"
 	"github.com/cicadamill/cicadamill/internal/gate/roster"
@@ -26,6 +27,10 @@
 	late      int
 	total     int
 	refused   int
+	// slowness is the factor by which an engine takes longer now, dispatched is told
+	// of each request that was sent.
+	slowness   func(id string) float64
+	dispatched func(id string, late bool)
 }
 
 // engineQueue models an engine as a single queue of prompt tokens.
@@ -56,6 +61,8 @@
 		"lm": {Name: "lm", Engines: &plan.Engines{Slots: herdSlots, CacheTokens: 100_000, TokenBytes: 35_136, LinkMbps: 740_000}},
 	}}, nil, nil)
 	h := &herd{random: rand.New(rand.NewPCG(1, 1)), engines: map[string]*engineQueue{}, now: start}
+	h.slowness = func(string) float64 { return 1 }
+	h.dispatched = func(string, bool) {}
 	targets := map[string]roster.Target{}
 	for i := range herdEngines {
 		version := uint64(1)
@@ -82,7 +89,7 @@
 
 // exchangeReports delivers every host's load report to all others.
 func (h *herd) exchangeReports() {
-	all := map[string]pick.Load{}
+	all, speeds := map[string]pick.Load{}, map[string]pace.Sum{}
 	var parts []pick.Placement
 	reports := make([]pick.Report, len(h.hosts))
 	for i, s := range h.hosts {
@@ -92,6 +99,10 @@
 			sum := all[id]
 			all[id] = pick.Load{Running: sum.Running + c.Running, Prefill: sum.Prefill + c.Prefill, Memory: sum.Memory + c.Memory}
 		}
+		for id, c := range reports[i].Speeds {
+			sum := speeds[id]
+			speeds[id] = pace.Sum{ExpectedMillis: sum.ExpectedMillis + c.ExpectedMillis, TookMillis: sum.TookMillis + c.TookMillis}
+		}
 	}
 	for i, s := range h.hosts {
 		others := map[string]pick.Load{}
@@ -99,7 +110,15 @@
 			own := reports[i].Work[id]
 			others[id] = pick.Load{Running: c.Running - own.Running, Prefill: c.Prefill - own.Prefill, Memory: c.Memory - own.Memory}
 		}
-		s.ApplyReport(h.now, peer, pick.Report{Work: others, Parts: parts})
+		var otherSpeeds map[string]pace.Sum
+		if reports[i].Speeds != nil {
+			otherSpeeds = map[string]pace.Sum{}
+			for id, c := range speeds {
+				own := reports[i].Speeds[id]
+				otherSpeeds[id] = pace.Sum{ExpectedMillis: c.ExpectedMillis - own.ExpectedMillis, TookMillis: c.TookMillis - own.TookMillis}
+			}
+		}
+		s.ApplyReport(h.now, peer, pick.Report{Work: others, Parts: parts, Speeds: otherSpeeds})
 	}
 }
 
@@ -133,15 +152,30 @@
 	if e.freeAt.Before(h.now) {
 		e.freeAt = h.now
 	}
-	e.freeAt = e.freeAt.Add(time.Duration(float64(request.Prompt.Tokens-g.Cached-g.Fetched) / prefillRate * float64(time.Millisecond)))
-	run.first = e.freeAt.Add(firstTokenDelay)
-	run.end = run.first.Add(decodeTime)
-	if run.first.Sub(h.now) > request.Objective {
+	slowness := h.slowness(g.Target.ID)
+	e.freeAt = e.freeAt.Add(time.Duration(slowness * float64(request.Prompt.Tokens-g.Cached-g.Fetched) / prefillRate * float64(time.Millisecond)))
+	run.first = e.freeAt.Add(time.Duration(slowness * float64(firstTokenDelay)))
+	run.end = run.first.Add(time.Duration(slowness * float64(decodeTime)))
+	late := run.first.Sub(h.now) > request.Objective
+	if late {
 		h.late++
 	}
+	h.dispatched(g.Target.ID, late)
 	h.runs = append(h.runs, run)
 }
 
+// run sends a request every gap until end, and exchanges reports in between.
+func (h *herd) run(end, gap time.Duration) {
+	var reported time.Time
+	for h.now.Before(start.Add(end)) {
+		if h.now.Sub(reported) > reportInterval {
+			h.exchangeReports()
+			reported = h.now
+		}
+		h.step(gap)
+	}
+}
+
 // Pattern: power of d choices under stale information. Hosts that all see the same
 // best engine until the next report must not all choose it.
 func TestManyHostsDoNotHerd(t *testing.T) {
@@ -158,14 +192,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			h := newHerd(test.upgraded)
-			var reported time.Time
-			for h.now.Before(start.Add(4 * time.Second)) {
-				if h.now.Sub(reported) > reportInterval {
-					h.exchangeReports()
-					reported = h.now
-				}
-				h.step(time.Second / perSecond)
-			}
+			h.run(4*time.Second, time.Second/perSecond)
 			late := 100 * float64(h.late) / float64(h.total)
 			t.Logf("%d requests, %.1f in 100 late, %d refused", h.total, late, h.refused)
 			assert.LessOrEqual(t, late, test.late)
--- a/internal/gate/pick/message.go
+++ b/internal/gate/pick/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cicadamill/cicadamill/internal/gate/call"
+	"github.com/cicadamill/cicadamill/internal/gate/pace"
 	"github.com/cicadamill/cicadamill/internal/gate/roster"
 )
 
@@ -55,6 +56,8 @@
 	Load Load
 	// Age is the age of the oldest peer report in Load.
 	Age time.Duration
+	// Slowness is how many times longer the target takes than others of its service.
+	Slowness float64
 }
 
 // Wait means that no target can take the request now, but that one may soon.
@@ -126,6 +129,9 @@
 	Work map[string]Load `json:"work,omitempty"`
 	// Parts are the changes of cache contents since the last report.
 	Parts []Placement `json:"parts,omitempty"`
+	// Speeds are sums of how long targets took lately, by target ID; nil if the last
+	// ones still hold.
+	Speeds map[string]pace.Sum `json:"speeds,omitempty"`
 	// Versions are the weight versions in the targets' answers, by target ID.
 	Versions map[string]ObservedVersion `json:"versions,omitempty"`
 }
--- a/internal/gate/pick/pick.go
+++ b/internal/gate/pick/pick.go
@@ -20,6 +20,7 @@
 
 	"github.com/cicadamill/cicadamill/internal/gate/call"
 	"github.com/cicadamill/cicadamill/internal/gate/oplog"
+	"github.com/cicadamill/cicadamill/internal/gate/pace"
 	"github.com/cicadamill/cicadamill/internal/gate/plan"
 	"github.com/cicadamill/cicadamill/internal/gate/roster"
 )
@@ -61,6 +62,8 @@
 	// of other parts aren't reported.
 	shared    *simplelru.LRU[uint64, struct{}]
 	latencies map[string]*latencyEstimate
+	// pace finds the targets that are slower than others.
+	pace *pace.Tracker
 }
 
 // modelVersions are the announced versions of a model's weights.
@@ -125,7 +128,7 @@
 		shared: shared, reportedAt: reportedAt, placements: oplog.New[Placement](maxPlacements),
 		options: options, random: rand.New(rand.NewPCG(options.Seed, options.Seed)),
 		targets: map[string]*target{}, services: map[string][]*target{},
-		models: map[string]modelVersions{}, observed: map[string]versionReport{}, latencies: map[string]*latencyEstimate{},
+		models: map[string]modelVersions{}, observed: map[string]versionReport{}, latencies: map[string]*latencyEstimate{}, pace: pace.New(),
 	}
 }
 
@@ -155,16 +158,22 @@
 			engines = s.plan.Services[entry.Service].Engines
 		}
 		if t, ok := s.targets[id]; ok {
+			if t.Born != entry.Born {
+				s.pace.Forget(id)
+			}
 			t.update(entry, engines)
 			continue
 		}
 		s.targets[id] = newTarget(entry, engines)
 	}
 	clear(s.services)
+	names := map[string][]string{}
 	for _, id := range slices.Sorted(maps.Keys(s.targets)) {
 		t := s.targets[id]
 		s.services[t.Service] = append(s.services[t.Service], t)
+		names[t.Service] = append(names[t.Service], id)
 	}
+	s.pace.SetTargets(names)
 }
 
 // Announce records an announced version of a model's weights and reports whether it
--- a/internal/gate/pick/run.go
+++ b/internal/gate/pick/run.go
@@ -19,10 +19,14 @@
 
 	load         Load
 	prefillAhead int
-	gotFirst     bool
-	isModel      bool
-	parts        []part
-	dest         *target
+	// usual is the time to the first token, or to the answer of a plain target, that
+	// is expected of a target that isn't slow.
+	usual    time.Duration
+	slowness float64
+	gotFirst bool
+	isModel  bool
+	parts    []part
+	dest     *target
 }
 
 // Start records that a request is sent as [Picker.Choose] decided.
@@ -32,7 +36,8 @@
 	if !ok {
 		return run
 	}
-	run.dest = t
+	run.dest, run.slowness = t, max(d.Slowness, 1)
+	run.usual = time.Duration(float64(d.Expected) / run.slowness)
 	run.load = Load{Running: 1}
 	if run.isModel {
 		miss := max(r.Prompt.Tokens-d.Cached-d.Fetched, 0)
@@ -92,12 +97,19 @@
 	run.gotFirst = true
 	run.dest.own.Prefill -= run.load.Prefill
 	if run.isModel {
-		s.latency(run.dest.Service).observePrompt(run.prefillAhead, now.Sub(run.Began))
+		took := now.Sub(run.Began)
+		s.pace.Observe(now, run.Target, run.usual, took)
+		s.latency(run.dest.Service).observePrompt(run.prefillAhead, run.perUsual(took))
 		run.dest.cache.confirm(run.parts)
 	}
 	run.dest.recordSuccess()
 }
 
+// perUsual converts the time that a run took at a slow target to that at others.
+func (r *Run) perUsual(took time.Duration) time.Duration {
+	return time.Duration(float64(took) / r.slowness)
+}
+
 // Outcome is the outcome of a run.
 type Outcome int
 
@@ -135,8 +147,9 @@
 	case Completed:
 		t.recordSuccess()
 		if !run.isModel {
-			v := s.latency(t.Service)
-			v.request = movingAverage(v.request, now.Sub(run.Began))
+			v, took := s.latency(t.Service), now.Sub(run.Began)
+			s.pace.Observe(now, run.Target, run.usual, took)
+			v.request = movingAverage(v.request, run.perUsual(took))
 		}
 	case Rejected:
 		t.fullUntil = now.Add(fullBackoff)
@@ -225,7 +238,7 @@
 // Report returns the report for a recipient, with the cache changes since a
 // position, and the next position.
 func (s *Picker) Report(now time.Time, to oplog.Recipient, after uint64) (Report, uint64) {
-	r := Report{Work: map[string]Load{}, Versions: map[string]ObservedVersion{}}
+	r := Report{Work: map[string]Load{}, Versions: map[string]ObservedVersion{}, Speeds: s.pace.Report(now, to)}
 	parts, next := s.placements.Since(after, to)
 	r.Parts = parts
 	for id, o := range s.observed {
@@ -260,6 +273,7 @@
 // ApplyReportWithoutLoad applies another node's report except for its load.
 func (s *Picker) ApplyReportWithoutLoad(now time.Time, from oplog.Origin, r Report) {
 	s.applyParts(now, from, r.Parts)
+	s.pace.Apply(now, from, r.Speeds)
 	for id, seen := range maps.All(r.Versions) {
 		if s.RecordVersion(id, seen) {
 			s.observed[id] = versionReport{seen: seen, at: now, origin: from}
@@ -286,6 +300,7 @@
 
 // DropPeer removes the load that a node reported.
 func (s *Picker) DropPeer(node string) {
+	s.pace.DropPeer(node)
 	for _, t := range s.targets {
 		t.dropPeer(node)
 	}
--- /dev/null
+++ b/internal/gate/pick/slow_test.go
@@ -0,0 +1,61 @@
+package pick_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// Pattern: engines that turn slow. A sixth of the engines takes four times as long for
+// some seconds, without failing a request. They get less work while they are slow, and
+// their share again soon after; no host takes them for dead.
+func TestSlowEnginesLoseWork(t *testing.T) {
+	const (
+		perSecond, slowEngines, slowness = 570, 24, 4
+		slowFrom, slowTo, end            = 4 * time.Second, 10 * time.Second, 16 * time.Second
+	)
+	h := newHerd(0)
+	slow := func(now time.Time) bool { return now.Sub(start) >= slowFrom && now.Sub(start) < slowTo }
+	h.slowness = func(id string) float64 {
+		var number int
+		_, _ = fmt.Sscanf(id, "e%d", &number)
+		if number < slowEngines && slow(h.now) {
+			return slowness
+		}
+		return 1
+	}
+	type span struct{ toSlow, total, late int }
+	var before, during, after span
+	h.dispatched = func(id string, late bool) {
+		at := h.now.Sub(start)
+		s := &before
+		switch {
+		case at > slowTo+2*time.Second:
+			s = &after
+		case at > slowFrom+2*time.Second && at < slowTo:
+			s = &during
+		case at > slowFrom:
+			return
+		}
+		s.total++
+		var number int
+		_, _ = fmt.Sscanf(id, "e%d", &number)
+		if number < slowEngines {
+			s.toSlow++
+		}
+		if late {
+			s.late++
+		}
+	}
+	h.run(end, time.Second/perSecond)
+	for name, s := range map[string]span{"before": before, "during": during, "after": after} {
+		t.Logf("%s: %d requests, %.1f in 100 to the engines that turn slow, %.1f late", name, s.total, 100*float64(s.toSlow)/float64(s.total), 100*float64(s.late)/float64(s.total))
+	}
+	share := func(s span) float64 { return float64(s.toSlow) / float64(s.total) }
+	assert.Less(t, share(during), share(before)/2, "slow engines keep at most half of their work")
+	fair := float64(slowEngines) / herdEngines
+	assert.Greater(t, share(after), 0.7*fair, "engines that are no longer slow get their work back")
+	assert.LessOrEqual(t, 100*float64(during.late)/float64(during.total), 5.0)
+}
--- a/internal/gate/proxy/proxy_test.go
+++ b/internal/gate/proxy/proxy_test.go
@@ -337,6 +337,34 @@
 	}
 }
 
+// TestSlowStreamsAreNotCut makes an engine pause for longer than the objective before
+// the first event and between events, which is late but sound: the stream must be
+// neither cut nor started again elsewhere.
+func TestSlowStreamsAreNotCut(t *testing.T) {
+	const objective, pause, count = 500 * time.Millisecond, 700 * time.Millisecond, 3
+	slow := func(w http.ResponseWriter, r *http.Request, _ int) {
+		seal(w, r)
+		for i := range count {
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(pause)
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i+1)
+		}
+	}
+	for _, path := range []string{"/stream/x", "/resume/x"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			w := newFixture(t, []target{slow, slow}, func(o *proxy.Options) {
+				p := testPlan(longTimeout, objective)
+				o.Plan = func() *plan.Plan { return p }
+			})
+			got := w.send(t, path)
+			require.NoError(t, got.err)
+			assert.Equal(t, count, strings.Count(got.body, "id: "))
+			assert.EqualValues(t, 1, w.arrivals.Load())
+		})
+	}
+}
+
 // vietnamese has letters with tone marks, both composed and decomposed.
 const vietnamese = "Khắc tên: Nguyễn Thị Thìa, “trăm năm hạnh phúc” – Kha\u0306\u0301c te\u0302n, Hội An"
 
--- a/internal/node/orders/orders_test.go
+++ b/internal/node/orders/orders_test.go
@@ -32,7 +32,7 @@
 type cluster struct {
 	// suspended is the total time for which the nodes were suspended, in nanoseconds.
 	// Only the boot-time clock counts it.
-	suspended atomic.Int64
+	suspended   atomic.Int64
 	t           *testing.T
 	table       *tables.Store
 	scope       tally.TestScope
