Time calls that run at most once by the boot-time clock

Cause: as for the order lease: the hold time of a reservation was the longer of the monotonic and the wall clock. A host that was suspended while its time of day was set back took a reservation that had run out for held and sent the call. Change: ledger and dispatch of a node read the boot-time clock. Result: TestSuspendedOwnerDoesNotDispatch passes; with the check on time.Now the call reaches the target.

--- a/internal/entry/plain/once.go
+++ b/internal/entry/plain/once.go
@@ -125,7 +125,7 @@
 func (h *Handler) send(ctx context.Context, target site.Target, request web.Request, hold ledger.Dispatch) (web.Response, error) {
 	end := h.ranking.Begin(target.Address)
 	answer, err := h.client.CallOnce(ctx, target.Address, request, func() error {
-		if hold.Expired(time.Now()) {
+		if hold.Expired(h.options.Now()) {
 			return errLate
 		}
 		if h.options.Leaving(target.Name) {
--- a/internal/entry/plain/plain.go
+++ b/internal/entry/plain/plain.go
@@ -55,6 +55,8 @@
 	// MetricLabel returns the metric label of a workspace, to bound the number of
 	// labels; nil uses the names themselves.
 	MetricLabel func(workspace string) string
+	// Now reads the clock by which the ledger times its calls; nil means [time.Now].
+	Now func() time.Time
 	// Scope is the scope of the metrics.
 	Scope tally.Scope
 }
@@ -75,6 +77,9 @@
 	if options.Leaving == nil {
 		options.Leaving = func(string) bool { return false }
 	}
+	if options.Now == nil {
+		options.Now = time.Now
+	}
 	if options.MetricLabel == nil {
 		options.MetricLabel = func(workspace string) string { return workspace }
 	}
--- a/internal/entry/plain/plain_test.go
+++ b/internal/entry/plain/plain_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -82,6 +83,10 @@
 
 // serve runs the handler with a ledger and returns its URL and metrics.
 func serve(t *testing.T, leaving func(string) bool, addresses ...string) (string, tally.TestScope) {
+	return serveWith(t, plain.Options{Leaving: leaving}, addresses...)
+}
+
+func serveWith(t *testing.T, options plain.Options, addresses ...string) (string, tally.TestScope) {
 	config := site.Config{
 		Workspaces: []site.Workspace{{Name: "w", KeyHashes: []string{auth.Hash("key")}, Services: []string{"s"}}, {Name: "v", KeyHashes: []string{auth.Hash("other")}, Services: []string{"s"}}, {Name: "none", KeyHashes: []string{auth.Hash("third")}}},
 		Services:   []site.Service{{Name: "s", TimeoutMillis: 60_000, Calls: []site.Call{{Method: "PUT", Path: "/status/{id}", Idempotent: true}, {Method: "GET", Path: "/pay", Idempotent: false}, {Method: "POST", Path: "[bad", Idempotent: true}}}},
@@ -98,7 +103,8 @@
 	below, stop := context.WithCancel(context.Background())
 	go func(ctx context.Context) { ended <- runner.Serve(ctx) }(ctx)
 	go func(ctx context.Context) { ended <- writer.Serve(ctx) }(below)
-	handler := plain.New(plain.Options{Node: "n", Config: func() site.Config { return config }, Ledger: runner, Leaving: leaving, Scope: scope})
+	options.Node, options.Config, options.Ledger, options.Scope = "n", func() site.Config { return config }, runner, scope
+	handler := plain.New(options)
 	server := httptest.NewServer(handler)
 	t.Cleanup(func() {
 		server.Close()
@@ -289,6 +295,19 @@
 	}
 }
 
+// TestSuspendedOwnerDoesNotDispatch makes the clock that counts suspensions pass the
+// hold time between the reservation of a call and its first byte. The monotonic clock
+// doesn't show that, nor does the time of day if it was set back.
+func TestSuspendedOwnerDoesNotDispatch(t *testing.T) {
+	target := newTarget(t, echo)
+	suspended := func() time.Time { return time.Now().Add(time.Minute) }
+	address, _ := serveWith(t, plain.Options{Now: suspended}, target.address)
+	response, answer := send(t, "POST", address+"s/pay", "key", strings.NewReader("body"), plain.IdempotencyKeyHeader, "k")
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	assert.Contains(t, answer, `"ran":"notRun"`)
+	assert.Zero(t, target.seen.Load())
+}
+
 // TestBodiesFlowBothWays sends the second line of the body only after the
 // response to the first line has arrived.
 func TestBodiesFlowBothWays(t *testing.T) {
--- a/internal/node/once/drive.go
+++ b/internal/node/once/drive.go
@@ -26,7 +26,7 @@
 	var message ledger.Message = ledger.Begin{}
 	for message != nil {
 		var commands []ledger.Command
-		f.state, commands = f.state.Update(time.Now(), message)
+		f.state, commands = f.state.Update(r.limits.Now(), message)
 		message = nil
 		for _, command := range commands {
 			if next := r.execute(ctx, f, command); next != nil {
--- a/internal/node/once/once.go
+++ b/internal/node/once/once.go
@@ -32,6 +32,9 @@
 	Retention time.Duration
 	// MaxOpen is the maximum number of open calls.
 	MaxOpen int
+	// Now reads the clock that times the calls, which should count the time for which
+	// the host was suspended and never step; nil means [time.Now].
+	Now func() time.Time
 }
 
 // DefaultLimits are the limits that a node uses.
@@ -91,6 +94,9 @@
 //	supervisor.Add(runner)
 //	reply, err := runner.Run(ctx, call)
 func New(writer Writer, tables table.Client, objects object.Client, limits Limits, scope tally.Scope) *Runner {
+	if limits.Now == nil {
+		limits.Now = time.Now
+	}
 	return &Runner{
 		limits: limits, writer: writer, table: tables, objects: objects, scope: scope,
 		starts: make(chan *flight), flights: map[string]*flight{},
--- a/internal/node/server/effects.go
+++ b/internal/node/server/effects.go
@@ -9,6 +9,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/cicadamill/cicadamill/internal/entry/plain"
+	"github.com/cicadamill/cicadamill/internal/infra/boot"
 	"github.com/cicadamill/cicadamill/internal/infra/webobj"
 	"github.com/cicadamill/cicadamill/internal/infra/webtab"
 	"github.com/cicadamill/cicadamill/internal/node/commit"
@@ -37,16 +38,18 @@
 
 // openEffects starts the background services. The caller must call close after
 // the callers' listener has drained.
-func (s *Server) openEffects() *effects {
+func (s *Server) openEffects(clock *boot.Clock) *effects {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: platformConnections, IdleConnTimeout: idleTimeout}}
 	table := webtab.New(s.settings.TableAddress, client)
 	objects := webobj.New(s.settings.ObjectAddress, client)
 	scope := s.telemetry.scope()
 	writer := commit.New(table, ledgerBatch, scope)
-	runner := once.New(writer, table, objects, once.DefaultLimits, scope)
+	limits := once.DefaultLimits
+	limits.Now = clock.Now
+	runner := once.New(writer, table, objects, limits, scope)
 	e := &effects{handler: plain.New(plain.Options{
 		Node: s.settings.Name, DataCentre: s.settings.DataCentre, Config: s.applied.Config,
-		Ledger: runner, MetricLabel: s.telemetry.labels.Label, Scope: scope,
+		Ledger: runner, Now: clock.Now, MetricLabel: s.telemetry.labels.Label, Scope: scope,
 		Leaving: func(target string) bool { return s.fleet.isLeaving(target, "") },
 	})}
 	e.start(s, writer)
--- a/internal/node/server/orders.go
+++ b/internal/node/server/orders.go
@@ -14,11 +14,7 @@
 // orderSender returns the service that sends orders to engines while this node
 // holds the orders lease. It has an HTTP client of its own, whose connections
 // check the lease when they write to the socket.
-func (s *Server) orderSender() (*orders.Sender, error) {
-	clock, err := boot.New()
-	if err != nil {
-		return nil, err
-	}
+func (s *Server) orderSender(clock *boot.Clock) *orders.Sender {
 	client := &http.Client{Transport: &http.Transport{DialContext: egress.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout}}
 	options := orders.DefaultOptions
 	options.Config = s.applied.Config
@@ -34,5 +30,5 @@
 		}
 		return nil, false
 	}
-	return orders.New(options), nil
+	return orders.New(options)
 }
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -18,6 +18,7 @@
 	"github.com/cicadamill/cicadamill/internal/config/site"
 	"github.com/cicadamill/cicadamill/internal/entry/front"
 	"github.com/cicadamill/cicadamill/internal/entry/limit"
+	"github.com/cicadamill/cicadamill/internal/infra/boot"
 	"github.com/cicadamill/cicadamill/internal/node/cells"
 	"github.com/cicadamill/cicadamill/internal/route/cell"
 	"github.com/cicadamill/cicadamill/internal/target/engine"
@@ -101,11 +102,11 @@
 	if err != nil {
 		return err
 	}
-	orderSender, err := s.orderSender()
+	clock, err := boot.New()
 	if err != nil {
 		return err
 	}
-	effects := s.openEffects()
+	effects := s.openEffects(clock)
 	defer effects.close()
 	handler := s.telemetry.wrapCallers(effects.wrap(front.New(s.settings.Name, s.servedConfig, s.telemetry.wrapRunner(s.fleet.forwarder), s.streams.frontOption)))
 	listener, err := s.listen(callers, s.settings.CallerAddress, s.settings.CallerTLS)
@@ -119,7 +120,7 @@
 	s.fleet.addTo(supervisor)
 	supervisor.Add(s.streams.guard)
 	supervisor.Add(s.poller())
-	supervisor.Add(orderSender)
+	supervisor.Add(s.orderSender(clock))
 	if operators != nil {
 		supervisor.Add(operators)
 	}
