Divide the saved parts of prompts among all stores

Cause: a prompt was always saved to the first store of parts, so that the others stayed empty and the first one evicted what was still in use. Change: rendezvous hashing of the last shared part names the store, weighted by its room. A part that any store has is not saved again. Result: TestStoresShareTheParts failed before (all 200 parts in one store) and passes.

--- a/internal/gate/pick/choose.go
+++ b/internal/gate/pick/choose.go
@@ -364,21 +364,6 @@
 	return duration + fetchOverhead
 }
 
-// saveTo returns the address of a store that lacks the shared parts which the
-// engine is about to compute. The whole prompt is saved, so a prompt with a long
-// private part would evict more than it adds.
-func (s *Picker) saveTo(parts, shared []part, cached, fetched int) string {
-	total := sum(shared)
-	if len(s.stores) == 0 || cached+fetched >= total || sum(parts)-total > total*maxPrivateRatio {
-		return ""
-	}
-	st := s.stores[0]
-	if _, kept := st.cache.prefixTokens(shared); kept >= total {
-		return ""
-	}
-	return st.Address
-}
-
 func scale(d time.Duration, factor float64) time.Duration {
 	return time.Duration(float64(d) * factor)
 }
--- a/internal/gate/pick/pick_test.go
+++ b/internal/gate/pick/pick_test.go
@@ -388,6 +388,36 @@
 	assert.Equal(t, 6300, g.Fetched)
 }
 
+// Pattern: working set larger than one store. The parts are divided among the stores,
+// each part always to the same one, whichever host sends it.
+func TestStoresShareTheParts(t *testing.T) {
+	p, targets := engines(2)
+	p.Stores = append(p.Stores, plan.Store{Name: "kept-2", Address: "10.9.9.10:1", DataCentre: "west", CacheTokens: 700_000, LinkMbps: 59_000})
+	hosts := []*pick.Picker{pick.New(pick.Options{DataCentre: "east", Seed: 1}), pick.New(pick.Options{DataCentre: "west", Seed: 2})}
+	for _, s := range hosts {
+		s.SetPlan(p)
+		s.SetTargets(targets)
+	}
+	counts := map[string]int{}
+	for i := range 200 {
+		r := longRequest(fmt.Sprint("sheet-", i))
+		to := mustDispatch(t, hosts[0], start, r).SaveTo
+		assert.Equal(t, to, mustDispatch(t, hosts[1], start, r).SaveTo)
+		counts[to]++
+	}
+	assert.Len(t, counts, 2)
+	for _, count := range counts {
+		assert.InDelta(t, 100, count, 30)
+	}
+	for name, other := range map[string]string{"kept": "kept-2", "kept-2": "kept"} {
+		s := hosts[0]
+		s.ApplyCacheEvents(name, []pick.CacheEvent{{Model: model, Scope: "w1", ID: "common", Tokens: 2500}, {Model: model, Scope: "w1", ID: "sheet", Tokens: 3800}}, false)
+		s.ClearCache(other)
+		assert.Empty(t, mustDispatch(t, s, start, longRequest("sheet")).SaveTo, "a part that one store has is not saved to another")
+		s.ClearCache(name)
+	}
+}
+
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{9, 140} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
--- a/internal/gate/pick/store.go
+++ b/internal/gate/pick/store.go
@@ -1,10 +1,14 @@
 package pick
 
-import "github.com/cicadamill/cicadamill/internal/gate/plan"
+import (
+	"github.com/cicadamill/cicadamill/internal/gate/plan"
+	"github.com/cicadamill/cicadamill/internal/route/place"
+)
 
 // store is a store of prompt parts with its estimated contents.
 type store struct {
 	plan.Store
+	rank  place.Target
 	cache *cacheIndex
 }
 
@@ -14,7 +18,10 @@
 	old := s.stores
 	s.stores = nil
 	for _, next := range stores {
-		kept := &store{Store: next, cache: newCacheIndex(next.CacheTokens)}
+		kept := &store{
+			Store: next, cache: newCacheIndex(next.CacheTokens),
+			rank: place.Target{Name: next.Name, Hash: place.Hash(next.Name), Weight: float64(max(next.CacheTokens, 1))},
+		}
 		for _, o := range old {
 			if o.Name == next.Name && o.Address == next.Address {
 				kept.cache = o.cache
@@ -23,3 +30,25 @@
 		s.stores = append(s.stores, kept)
 	}
 }
+
+// saveTo returns the address of the store for the shared parts that an engine is
+// about to compute; empty if a store has them. The whole prompt is saved, so a prompt
+// with a long private part would evict more than it adds. Rendezvous hashing spreads
+// the parts over the stores: each keeps parts that the others lack.
+func (s *Picker) saveTo(parts, shared []part, cached, fetched int) string {
+	total := sum(shared)
+	if len(s.stores) == 0 || cached+fetched >= total || sum(parts)-total > total*maxPrivateRatio {
+		return ""
+	}
+	var home *store
+	highest := 0.0
+	for _, st := range s.stores {
+		if _, kept := st.cache.prefixTokens(shared); kept >= total {
+			return ""
+		}
+		if score := place.Score(shared[len(shared)-1].key, st.rank); home == nil || score > highest {
+			home, highest = st, score
+		}
+	}
+	return home.Address
+}
