--- a/internal/gate/tree/tree.go
+++ b/internal/gate/tree/tree.go
@@ -203,11 +203,23 @@
 // Strongest returns the names of the count strongest nodes that are up, this one
 // included.
 func (t *Topology) Strongest(now time.Time, count int) []string {
-	all := append(t.Up(now), t.self)
-	slices.SortFunc(all, byStrength)
-	all = all[:min(count, len(all))]
-	names := make([]string, len(all))
-	for i, n := range all {
+	best := make([]Node, 0, count+1)
+	add := func(n Node) {
+		if len(best) == count && (count == 0 || byStrength(best[count-1], n) < 0) {
+			return
+		}
+		at, _ := slices.BinarySearchFunc(best, n, byStrength)
+		best = slices.Insert(best, at, n)
+		best = best[:min(count, len(best))]
+	}
+	add(t.self)
+	for _, e := range t.nodes {
+		if e.alive(now) {
+			add(e.Node)
+		}
+	}
+	names := make([]string, len(best))
+	for i, n := range best {
 		names[i] = n.Name
 	}
 	return names
--- a/internal/gate/tree/tree_test.go
+++ b/internal/gate/tree/tree_test.go
@@ -127,3 +127,23 @@
 	parent, _ := s.Parent(start)
 	assert.Equal(t, "n00", parent, "an answer ends the backoff")
 }
+
+// TestStrongest compares the nodes that are up by strength, then by name.
+func TestStrongest(t *testing.T) {
+	s := tree.New(tree.Node{Name: "n3", DataCentre: "a", Strength: 2})
+	for name, strength := range map[string]float64{"n1": 1, "n2": 2, "n4": 4, "n5": 1, "n6": 2} {
+		s.RecordMessage(start, tree.Node{Name: name, DataCentre: "b", Strength: strength}, tree.Root)
+	}
+	tests := map[string]struct {
+		count int
+		want  []string
+	}{
+		"one":            {1, []string{"n4"}},
+		"ties by name":   {3, []string{"n4", "n2", "n3"}},
+		"more than all":  {9, []string{"n4", "n2", "n3", "n6", "n1", "n5"}},
+		"none asked for": {0, []string{}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, test.want, s.Strongest(start, test.count)) })
+	}
+}
