--- a/internal/gate/host/host.go
+++ b/internal/gate/host/host.go
@@ -141,6 +141,8 @@
 	positionUpdates    *oplog.Log[positionUpdate]
 	positionReportedAt map[string]time.Time
 	picker             *pick.Picker
+	// slowTargets are the targets last logged as slow.
+	slowTargets []string
 
 	pool          *pool.Pool
 	peers         *peers.Peers
--- a/internal/gate/host/host_test.go
+++ b/internal/gate/host/host_test.go
@@ -1,10 +1,12 @@
 package host
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -164,3 +166,14 @@
 		assert.Empty(t, h.compose(oplog.Recipient{}, peers.Cursor{}).Report.Versions, "the list of targets has the version by then")
 	})
 }
+
+func TestSlowTargetsAreLoggedOnce(t *testing.T) {
+	var lines bytes.Buffer
+	h := newHost(&fakeStore{})
+	h.logger = hclog.New(&hclog.LoggerOptions{Output: &lines, JSONFormat: true})
+	for _, slow := range [][]string{{"e1"}, {"e1", "e2"}, {"e1", "e2"}, {"e2"}, nil} {
+		h.logSlowTargets(slow)
+	}
+	assert.Equal(t, 2, strings.Count(lines.String(), `"target turned slow"`))
+	assert.Equal(t, 2, strings.Count(lines.String(), `"target no longer slow"`))
+}
--- a/internal/gate/host/state.go
+++ b/internal/gate/host/state.go
@@ -280,6 +280,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.picker.Expire(now)
+	h.logSlowTargets(h.picker.SlowTargets(now))
 	stores := map[string]bool{}
 	if p := h.plan.Load(); p != nil {
 		for _, s := range p.Stores {
@@ -294,6 +295,22 @@
 	}
 }
 
+// logSlowTargets logs the targets that have turned slow or are no longer.
+func (h *Host) logSlowTargets(slow []string) {
+	h.meter.Scope().Gauge("targets_slow").Update(float64(len(slow)))
+	for _, id := range slow {
+		if !slices.Contains(h.slowTargets, id) {
+			h.logger.Info("target turned slow", "target", id)
+		}
+	}
+	for _, id := range h.slowTargets {
+		if !slices.Contains(slow, id) {
+			h.logger.Info("target no longer slow", "target", id)
+		}
+	}
+	h.slowTargets = slow
+}
+
 // newWeightsMargin is how long before the operators' bound replaced weights stop
 // answering: the time that a request may wait at an engine before it starts.
 const newWeightsMargin = 1200 * time.Millisecond
--- a/internal/gate/pace/pace.go
+++ b/internal/gate/pace/pace.go
@@ -183,6 +183,20 @@
 	return max(t.factors[target], 1)
 }
 
+// Slow returns the names of the targets that are slower than others, sorted.
+func (t *Tracker) Slow(now time.Time) []string {
+	var slow []string
+	for _, targets := range t.services {
+		for _, target := range targets {
+			if t.Factor(now, target) > noiseFactor {
+				slow = append(slow, target)
+			}
+		}
+	}
+	slices.Sort(slow)
+	return slow
+}
+
 func (t *Tracker) refresh(now time.Time) {
 	kept := math.Exp(-now.Sub(t.refreshedAt).Seconds() / forgetTime.Seconds())
 	t.refreshedAt = now
--- a/internal/gate/pace/pace_test.go
+++ b/internal/gate/pace/pace_test.go
@@ -70,6 +70,11 @@
 			assert.GreaterOrEqual(t, factor, test.atLeast)
 			assert.LessOrEqual(t, factor, test.atMost)
 			assert.EqualValues(t, 1, tracker.Factor(start, "e1"))
+			if factor > 1 {
+				assert.Equal(t, []string{"e0"}, tracker.Slow(start))
+			} else {
+				assert.Empty(t, tracker.Slow(start))
+			}
 		})
 	}
 }
--- a/internal/gate/pick/run.go
+++ b/internal/gate/pick/run.go
@@ -228,6 +228,10 @@
 	}
 }
 
+// SlowTargets returns the IDs of the targets that are slower than others of their
+// service, sorted.
+func (s *Picker) SlowTargets(now time.Time) []string { return s.pace.Slow(now) }
+
 // Expire drops load reports that are too old.
 func (s *Picker) Expire(now time.Time) {
 	for _, t := range s.targets {
