Count each node's answer times once

Cause: a report without load comes from a node whose load a third node reports; its sums of answer times were applied all the same and counted twice. Change: they are applied with the load only. Result: TestSlownessCountsOncePerNode failed before and passes.

--- a/internal/gate/pick/run.go
+++ b/internal/gate/pick/run.go
@@ -264,6 +264,7 @@
 
 // ApplyReport applies another node's report.
 func (s *Picker) ApplyReport(now time.Time, from oplog.Origin, r Report) {
+	s.pace.Apply(now, from, r.Speeds)
 	for id, t := range s.targets {
 		if load, ok := r.Work[id]; ok {
 			t.setPeer(from.Node, peerLoad{load: load, at: now, child: from.Child})
@@ -274,10 +275,10 @@
 	s.ApplyReportWithoutLoad(now, from, r)
 }
 
-// ApplyReportWithoutLoad applies another node's report except for its load.
+// ApplyReportWithoutLoad applies another node's report except for its load and its
+// sums of answer times, which a third node reports.
 func (s *Picker) ApplyReportWithoutLoad(now time.Time, from oplog.Origin, r Report) {
 	s.applyParts(now, from, r.Parts)
-	s.pace.Apply(now, from, r.Speeds)
 	for id, seen := range maps.All(r.Versions) {
 		if s.RecordVersion(id, seen) {
 			s.observed[id] = versionReport{seen: seen, at: now, origin: from}
--- a/internal/gate/pick/slow_test.go
+++ b/internal/gate/pick/slow_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"github.com/cicadamill/cicadamill/internal/gate/pace"
+	"github.com/cicadamill/cicadamill/internal/gate/pick"
 )
 
 // Pattern: engines that turn slow. A sixth of the engines takes four times as long for
@@ -59,3 +62,14 @@
 	assert.Greater(t, share(after), 0.7*fair, "engines that are no longer slow get their work back")
 	assert.LessOrEqual(t, 100*float64(during.late)/float64(during.total), 5.0)
 }
+
+// TestSlownessCountsOncePerNode gets the same answers from a node and from another one
+// that reports for it.
+func TestSlownessCountsOncePerNode(t *testing.T) {
+	slow := pick.Report{Speeds: map[string]pace.Sum{"e0": {ExpectedMillis: 1000, TookMillis: 4000}, "e1": {ExpectedMillis: 1000, TookMillis: 1000}}}
+	s := newState(2)
+	s.ApplyReportWithoutLoad(start, peer, slow)
+	assert.Empty(t, s.SlowTargets(start), "a third node reports these")
+	s.ApplyReport(start, peer, slow)
+	assert.Equal(t, []string{"e0"}, s.SlowTargets(start.Add(time.Second)))
+}
