Send nothing more on a connection after a refusal that names no request

Cause: a refusal need not bear the id of its request. A late copy of one, on a connection that was in use again, passed for the answer to the next request: its caller was told that it had not run, or it was sent once more, though the target ran it. Change: after such a refusal the connection takes no further request. The HTTP client finds that nothing was written and takes another one. Result: TestLateCopyOfARefusalAnswersNobody failed before (503 for what had run) and passes.

--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -220,6 +220,11 @@
 		s.end = pick.Failed
 		return broken{reason: "answer to another request"}
 	case head.NotRun || head.Misdirected:
+		if head.ID == "" {
+			// A late copy of this refusal names no request either, and would pass for
+			// the answer to the next one on the connection.
+			s.guard.Retire()
+		}
 		s.end = pick.Rejected
 		return notRun{reason: "refused with " + strconv.Itoa(response.StatusCode)}
 	case !head.Signed || head.ID == "":
@@ -266,6 +271,7 @@
 		URL: &url.URL{Scheme: "http", Host: d.Target.Address, Opaque: path, RawQuery: query, ForceQuery: asked},
 	}
 	if len(j.call.Body) > 0 {
+		request.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(j.call.Body)), nil }
 		request.Body = io.NopCloser(bytes.NewReader(j.call.Body))
 		request.ContentLength = int64(len(j.call.Body))
 	}
--- a/internal/gate/proxy/proxy_test.go
+++ b/internal/gate/proxy/proxy_test.go
@@ -337,6 +337,41 @@
 	}
 }
 
+// TestLateCopyOfARefusalAnswersNobody has a target refuse a request without naming it,
+// and send a copy of the refusal on the same connection after it has begun to run the
+// next request, which must not run twice.
+func TestLateCopyOfARefusalAnswersNobody(t *testing.T) {
+	const refused = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	var runs atomic.Int32
+	refuseTwice := func(w http.ResponseWriter, _ *http.Request, _ int) {
+		conn, reader, _ := w.(http.Hijacker).Hijack()
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, refused)
+		next, err := http.ReadRequest(reader.Reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, next.Body)
+		runs.Add(1)
+		_, _ = io.WriteString(conn, refused)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Length: 4\r\n\r\ngood", next.Header.Get("Id"))
+	}
+	run := func(w http.ResponseWriter, r *http.Request, arrival int) {
+		runs.Add(1)
+		good(w, r, arrival)
+	}
+	w := newFixture(t, []target{first(refuseTwice, run)})
+	require.Equal(t, http.StatusServiceUnavailable, w.send(t, "/once/x").status)
+	var got reply
+	require.Eventually(t, func() bool {
+		got = w.send(t, "/once/x")
+		return got.status != http.StatusServiceUnavailable || runs.Load() > 0
+	}, longTimeout, 50*time.Millisecond, "the target is full for a moment")
+	assert.Equal(t, http.StatusOK, got.status)
+	assert.Equal(t, "good", got.body)
+	assert.EqualValues(t, 1, runs.Load())
+}
+
 // TestSlowStreamsAreNotCut makes an engine pause for longer than the objective before
 // the first event and between events, which is late but sound: the stream must be
 // neither cut nor started again elsewhere.
--- a/internal/target/egress/guard.go
+++ b/internal/target/egress/guard.go
@@ -19,6 +19,10 @@
 
 const dialTimeout = 2 * time.Second
 
+// errRetired means that a connection takes no further request. The HTTP client then
+// uses another one, because nothing has been written.
+var errRetired = errors.New("guard: the connection is retired")
+
 // ErrAlreadySent means that the HTTP client tried to send a request on a second
 // connection.
 var ErrAlreadySent = errors.New("guard: the request has left before")
@@ -46,6 +50,15 @@
 	return g.used != nil
 }
 
+// Retire makes the connection on which the request was sent its last one.
+func (g *Guard) Retire() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.used != nil {
+		g.used.last.Store(g)
+	}
+}
+
 // Context returns a context that attaches the guard to the connection of its
 // request.
 func (g *Guard) Context(ctx context.Context) context.Context {
@@ -90,11 +103,17 @@
 type guardedConn struct {
 	net.Conn
 	guard atomic.Pointer[Guard]
+	// last is the guard of the last request; nil if further ones may follow.
+	last atomic.Pointer[Guard]
 }
 
 // Write implements [net.Conn].
 func (c *guardedConn) Write(data []byte) (int, error) {
-	if guard := c.guard.Load(); guard != nil {
+	guard := c.guard.Load()
+	if last := c.last.Load(); last != nil && guard != last {
+		return 0, errRetired
+	}
+	if guard != nil {
 		if err := guard.admit(c); err != nil {
 			return 0, err
 		}
--- a/internal/target/egress/guard_test.go
+++ b/internal/target/egress/guard_test.go
@@ -84,3 +84,24 @@
 	assert.False(t, guard.Sent())
 	assert.Zero(t, runs.Load())
 }
+
+// TestRetiredConnectionTakesNoFurtherRequest sends two requests with a guard each; the
+// first one retires its connection.
+func TestRetiredConnectionTakesNoFurtherRequest(t *testing.T) {
+	var opened atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) }))
+	defer server.Close()
+	transport := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		opened.Add(1)
+		return egress.Dial(ctx, network, address)
+	}}
+	defer transport.CloseIdleConnections()
+	for _, retire := range []bool{false, true, false} {
+		guard := egress.New(func() error { return nil })
+		require.NoError(t, post(guard.Context(t.Context()), transport, server.URL))
+		if retire {
+			guard.Retire()
+		}
+	}
+	assert.EqualValues(t, 2, opened.Load())
+}
