Bound the memory of all long answers together

Cause: an answer without end is given up at 8 MiB, but each connection to a faulty target may send one at once: a dozen are more than the memory of a small host, whose process would be killed. Change: what an answer takes beyond 64 KiB comes out of a budget that all share, a quarter of the memory. Short answers need none.

--- a/internal/gate/host/host.go
+++ b/internal/gate/host/host.go
@@ -18,6 +18,7 @@
 
 	"github.com/cicadamill/cicadamill/internal/config/local"
 	"github.com/cicadamill/cicadamill/internal/entry/side"
+	"github.com/cicadamill/cicadamill/internal/gate/budget"
 	"github.com/cicadamill/cicadamill/internal/gate/caches"
 	"github.com/cicadamill/cicadamill/internal/gate/call"
 	"github.com/cicadamill/cicadamill/internal/gate/drain"
@@ -155,6 +156,21 @@
 	stop          stopState
 }
 
+const (
+	// answerMemoryDivisor determines the part of the process's memory that long answers
+	// may take while they are read.
+	answerMemoryDivisor = 4
+	// defaultAnswerBytes is that part if the process has no memory limit.
+	defaultAnswerBytes = 32 << 20
+)
+
+func answerBytes(memoryBytes int64) int {
+	if memoryBytes <= 0 {
+		return defaultAnswerBytes
+	}
+	return int(memoryBytes / answerMemoryDivisor)
+}
+
 // New returns a host that is not running yet.
 //
 //	gateway := host.New(settings, platform, logger, lines)
@@ -180,7 +196,7 @@
 	})
 	h.orders = orders.New(h.orderOptions())
 	h.proxy = proxy.New(proxy.Options{
-		Codec: platform.Codec, Plan: h.plan.Load, Picker: h.picker, Lock: &h.mu, Pool: h.pool, Fleet: h.peers,
+		Codec: platform.Codec, Plan: h.plan.Load, Picker: h.picker, Lock: &h.mu, Pool: h.pool, Answers: budget.New(answerBytes(settings.MemoryBytes)), Fleet: h.peers,
 		RetryBound: settings.Bounds.Repeats, DefaultTimeout: time.Minute, OnVersion: h.observeVersion, Scope: h.meter.Scope(), Logger: logger,
 		Poison: h.poison, Stopping: h.stop.rejecting.Load,
 	})
--- a/internal/gate/proxy/proxy.go
+++ b/internal/gate/proxy/proxy.go
@@ -17,6 +17,7 @@
 	"github.com/zeebo/xxh3"
 
 	"github.com/cicadamill/cicadamill/internal/entry/fault"
+	"github.com/cicadamill/cicadamill/internal/gate/budget"
 	"github.com/cicadamill/cicadamill/internal/gate/call"
 	"github.com/cicadamill/cicadamill/internal/gate/pick"
 	"github.com/cicadamill/cicadamill/internal/gate/plan"
@@ -45,8 +46,10 @@
 	// Lock guards Picker and Poison.
 	Lock *sync.Mutex
 	// Pool holds the connections to targets.
-	Pool  *pool.Pool
-	Fleet Fleet
+	Pool *pool.Pool
+	// Answers bounds the memory of answers that are being read.
+	Answers *budget.Budget
+	Fleet   Fleet
 	// RetryBound limits the retries of all nodes together.
 	RetryBound quota.Bound
 	// DefaultTimeout is the request timeout for clients that don't send one.
--- a/internal/gate/proxy/proxy_test.go
+++ b/internal/gate/proxy/proxy_test.go
@@ -23,6 +23,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/cicadamill/cicadamill/internal/entry/fault"
+	"github.com/cicadamill/cicadamill/internal/gate/budget"
 	"github.com/cicadamill/cicadamill/internal/gate/call"
 	"github.com/cicadamill/cicadamill/internal/gate/pick"
 	"github.com/cicadamill/cicadamill/internal/gate/plan"
@@ -203,7 +204,7 @@
 	picker.SetPlan(p)
 	picker.SetTargets(list)
 	o := proxy.Options{
-		Codec: codec{}, Plan: func() *plan.Plan { return p }, Picker: picker, Poison: w.poison, Lock: &sync.Mutex{}, Pool: pool.New(nil),
+		Codec: codec{}, Plan: func() *plan.Plan { return p }, Picker: picker, Poison: w.poison, Lock: &sync.Mutex{}, Pool: pool.New(nil), Answers: budget.New(answerMemory),
 		Fleet: w, RetryBound: quota.Bound{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, DefaultTimeout: time.Second,
 		OnVersion: func(string, string, uint64) {}, Scope: tally.NoopScope, Logger: hclog.NewNullLogger(),
 	}
@@ -215,6 +216,9 @@
 	return w
 }
 
+// answerMemory bounds the memory of long answers.
+const answerMemory = 2 << 20
+
 // longTimeout is a timeout that no test reaches, even on a busy machine.
 const longTimeout = 20 * time.Second
 
@@ -372,6 +376,55 @@
 	assert.EqualValues(t, 1, runs.Load())
 }
 
+// TestBytesWithoutEnd has a target send bytes that are no answer, or no end of one,
+// until its connection is closed. Each must end soon with a truthful outcome, and the
+// connection with it.
+func TestBytesWithoutEnd(t *testing.T) {
+	chunk := strings.Repeat("0123456789abcde\n", 1<<10)
+	const sealed = "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\n"
+	tests := map[string]struct {
+		path, start, chunk string
+		status             int
+	}{
+		"no answer at all":                 {"/once/x", "", chunk, 502},
+		"a line without end":               {"/once/x", "", strings.Repeat("x", 1<<14), 502},
+		"a head without end":               {"/once/x", sealed, "A: " + strings.Repeat("x", 1000) + "\r\n", 502},
+		"interim answers":                  {"/once/x", "", "HTTP/1.1 100 Continue\r\n\r\n", 502},
+		"a body without length":            {"/once/x", sealed + "\r\n", chunk, 502},
+		"a body in chunks":                 {"/once/x", sealed + "Transfer-Encoding: chunked\r\n\r\n", "4000\r\n" + chunk + "\r\n", 502},
+		"a failure's body":                 {"/once/x", "HTTP/1.1 500 Error\r\nId: %s\r\nSeal: s\r\n\r\n", chunk, 502},
+		"an event":                         {"/stream/x", sealed + "\r\n", "data: " + chunk, 502},
+		"blank lines in place of events":   {"/stream/x", sealed + "\r\n", strings.Repeat("\n", 1<<14), 502},
+		"comments in place of an event":    {"/stream/x", sealed + "\r\n", strings.Repeat(": x\n", 1<<12), 502},
+		"idempotent, at both of its tries": {"/safe/x", sealed + "\r\n", chunk, 502},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			closed := make(chan error, 8)
+			flood := func(w http.ResponseWriter, r *http.Request, _ int) {
+				conn, _, _ := w.(http.Hijacker).Hijack()
+				defer func() { _ = conn.Close() }()
+				_, err := io.WriteString(conn, strings.ReplaceAll(test.start, "%s", r.Header.Get("Id")))
+				for err == nil {
+					_, err = io.WriteString(conn, test.chunk)
+				}
+				closed <- err
+			}
+			w := newFixture(t, []target{flood, flood})
+			began := time.Now()
+			got := w.send(t, test.path)
+			require.NoError(t, got.err)
+			assert.Equal(t, test.status, got.status)
+			assert.Contains(t, got.body, `"ran":"unknown"`)
+			for range w.arrivals.Load() {
+				assert.Error(t, <-closed)
+			}
+			assert.Less(t, time.Since(began), longTimeout/2)
+		})
+	}
+}
+
 // TestSlowStreamsAreNotCut makes an engine pause for longer than the objective before
 // the first event and between events, which is late but sound: the stream must be
 // neither cut nor started again elsewhere.
--- a/internal/gate/proxy/response.go
+++ b/internal/gate/proxy/response.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"github.com/cicadamill/cicadamill/internal/entry/fault"
+	"github.com/cicadamill/cicadamill/internal/gate/budget"
 	"github.com/cicadamill/cicadamill/internal/gate/event"
 	"github.com/cicadamill/cicadamill/internal/gate/pick"
 	"github.com/cicadamill/cicadamill/internal/gate/plan"
@@ -59,16 +60,19 @@
 
 // unary buffers a response and forwards it once it is complete.
 func (h *Handler) unary(client context.Context, w http.ResponseWriter, s *attempt, response *http.Response) result {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	body, release, err := h.options.Answers.ReadAll(response.Body, maxResponseBytes)
+	defer release()
+	var tooLarge *budget.TooLargeError
+	var exhausted *budget.ExhaustedError
 	switch {
 	case client.Err() != nil:
 		return clientGone{}
+	case errors.As(err, &tooLarge), errors.As(err, &exhausted):
+		s.end = pick.Failed
+		return broken{reason: err.Error()}
 	case err != nil:
 		s.end = pick.Failed
 		return broken{reason: "answer broken off: " + reasonOf(err), connLost: isConnError(err)}
-	case len(body) > maxResponseBytes:
-		s.end = pick.Failed
-		return broken{reason: "answer too large"}
 	}
 	complete := &answer{status: response.StatusCode, header: EndToEnd(response.Header), body: body}
 	if response.StatusCode >= http.StatusInternalServerError {
