--- a/internal/gate/proxy/proxy_test.go
+++ b/internal/gate/proxy/proxy_test.go
@@ -621,6 +621,40 @@
 	}
 }
 
+// TestStalledStreamsEnd has a target that makes no progress send a byte now and then,
+// as comments or within an event. The stream must end by the route's timeout, and the
+// work at the target with it.
+func TestStalledStreamsEnd(t *testing.T) {
+	const timeout, drip = 900 * time.Millisecond, 20 * time.Millisecond
+	for name, text := range map[string]string{"comments": ":\n\n", "within an event": "x", "blank lines": "\n"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			dripping := func(w http.ResponseWriter, r *http.Request, _ int) {
+				seal(w, r)
+				_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+				for r.Context().Err() == nil {
+					_, _ = io.WriteString(w, text)
+					_ = http.NewResponseController(w).Flush()
+					time.Sleep(drip)
+				}
+			}
+			w := newFixture(t, []target{dripping}, func(o *proxy.Options) {
+				p := testPlan(timeout, timeout/3)
+				o.Plan = func() *plan.Plan { return p }
+			})
+			began := time.Now()
+			got := w.send(t, "/stream/x")
+			assert.Error(t, got.err, "the stream must not look complete")
+			assert.Less(t, time.Since(began), timeout+500*time.Millisecond)
+			select {
+			case <-w.ended:
+			case <-time.After(longTimeout):
+				assert.Fail(t, "the target was not cancelled")
+			}
+		})
+	}
+}
+
 func TestTargetEndsWhenTheClientLeaves(t *testing.T) {
 	lines := make(lineChannel, 100)
 	w := newFixture(t, []target{hanging}, func(o *proxy.Options) {
