Report cached parts that were read before they were known to be shared

Cause: the host that reads a cache's events passes on those of parts that it knows to be shared. The event of a part that is new everywhere, as after a load of weights, can come before the report of the host that placed it; it was dropped, and no other host learnt that the part can be copied until it was read again. Change: when a host learns that a part is shared, it reports the caches that have it. Result: TestEarlyCacheEventsAreReported failed before for an early event and passes.

--- a/internal/gate/pick/pick_test.go
+++ b/internal/gate/pick/pick_test.go
@@ -388,6 +388,38 @@
 	assert.Equal(t, 6300, g.Fetched)
 }
 
+// Pattern: parts that are new everywhere, as after a load of weights. The node that reads
+// the events of a cache may get that of a part before it hears that the part is shared;
+// the other nodes must learn all the same that it can be copied.
+func TestEarlyCacheEventsAreReported(t *testing.T) {
+	for name, early := range map[string]bool{"event after the placement": false, "event before the placement": true} {
+		t.Run(name, func(t *testing.T) {
+			sender, reader, third := newState(2), newState(2), newState(2)
+			r := longRequest("sheet")
+			g := mustDispatch(t, sender, start, r)
+			sender.Start(start, r, g)
+			report, _ := sender.Report(start, oplog.Recipient{Node: "reader"}, 0)
+			events := []pick.CacheEvent{
+				{Model: model, Scope: g.Scope, ID: "common", Tokens: 2500}, {Model: model, Scope: g.Scope, ID: "sheet", Tokens: 3800},
+				{Model: model, Scope: g.Scope, ID: "own-sheet", Tokens: 2500},
+			}
+			if early {
+				reader.ApplyCacheEvents(g.Target.ID, events, false)
+			}
+			reader.ApplyReport(start, oplog.Origin{Node: "sender"}, report)
+			if !early {
+				reader.ApplyCacheEvents(g.Target.ID, events, false)
+			}
+			next, _ := reader.Report(start, oplog.Recipient{Node: "third"}, 0)
+			third.ApplyReport(start, oplog.Origin{Node: "reader"}, next)
+			r.Excluded = []string{g.Target.ID}
+			other := mustDispatch(t, third, start.Add(time.Second), r)
+			assert.Equal(t, g.Target.Address, other.FetchFrom)
+			assert.Equal(t, 6300, other.Fetched)
+		})
+	}
+}
+
 // Pattern: working set larger than one store. The parts are divided among the stores,
 // each part always to the same one, whichever host sends it.
 func TestStoresShareTheParts(t *testing.T) {
--- a/internal/gate/pick/run.go
+++ b/internal/gate/pick/run.go
@@ -58,7 +58,7 @@
 		p := parts[i]
 		t.cache.touch(p.key, p.tokens)
 		if i < shared {
-			s.shared.Add(p.key, struct{}{})
+			s.markShared(p.key)
 			s.reportPlacement(now, Placement{Part: p.key, Tokens: p.tokens, Target: t.ID})
 		}
 		if d.SaveTo == "" {
@@ -76,6 +76,27 @@
 	return parts
 }
 
+// markShared marks a part as shared. If caches reported it before this node knew that
+// it is shared, it is reported to other nodes now.
+func (s *Picker) markShared(part uint64) {
+	known := s.shared.Contains(part)
+	s.shared.Add(part, struct{}{})
+	if known {
+		return
+	}
+	report := func(name string, cache *cacheIndex) {
+		if e, ok := cache.parts.Peek(part); ok && e.confirmed {
+			s.placements.Add(oplog.Origin{}, Placement{Part: part, Tokens: e.tokens, Target: name, Confirmed: true})
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.targets)) {
+		report(id, s.targets[id].cache)
+	}
+	for _, st := range s.stores {
+		report(st.Name, st.cache)
+	}
+}
+
 // reportPlacement reports to other nodes that a part is used at a target, at most
 // once per placementInterval.
 func (s *Picker) reportPlacement(now time.Time, p Placement) {
@@ -297,7 +318,7 @@
 			cache.update(p.Part, p.Tokens)
 			continue
 		}
-		s.shared.Add(p.Part, struct{}{})
+		s.markShared(p.Part)
 		s.reportedAt.Add(p.key(), now)
 		cache.touch(p.Part, p.Tokens)
 	}
