--- a/internal/target/egress/guard_test.go
+++ b/internal/target/egress/guard_test.go
@@ -89,7 +89,7 @@
 // first one retires its connection.
 func TestRetiredConnectionTakesNoFurtherRequest(t *testing.T) {
 	var opened atomic.Int32
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) }))
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) }))
 	defer server.Close()
 	transport := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 		opened.Add(1)
