--- a/internal/gate/pick/herd_test.go
+++ b/internal/gate/pick/herd_test.go
@@ -27,8 +27,8 @@
 	late      int
 	total     int
 	refused   int
-	// slowness is the factor by which an engine takes longer now, dispatched is told
-	// of each request that was sent.
+	// slowness returns the factor by which an engine takes longer now; dispatched is
+	// called with the engine of each request that is sent.
 	slowness   func(id string) float64
 	dispatched func(id string, late bool)
 }
--- a/internal/gate/pick/slow_test.go
+++ b/internal/gate/pick/slow_test.go
@@ -19,12 +19,13 @@
 		perSecond, slowEngines, slowness = 570, 24, 4
 		slowFrom, slowTo, end            = 4 * time.Second, 10 * time.Second, 16 * time.Second
 	)
+	turnsSlow := map[string]bool{}
+	for i := range slowEngines {
+		turnsSlow[fmt.Sprint("e", i)] = true
+	}
 	h := newHerd(0)
-	slow := func(now time.Time) bool { return now.Sub(start) >= slowFrom && now.Sub(start) < slowTo }
 	h.slowness = func(id string) float64 {
-		var number int
-		_, _ = fmt.Sscanf(id, "e%d", &number)
-		if number < slowEngines && slow(h.now) {
+		if at := h.now.Sub(start); turnsSlow[id] && at >= slowFrom && at < slowTo {
 			return slowness
 		}
 		return 1
@@ -43,9 +44,7 @@
 			return
 		}
 		s.total++
-		var number int
-		_, _ = fmt.Sscanf(id, "e%d", &number)
-		if number < slowEngines {
+		if turnsSlow[id] {
 			s.toSlow++
 		}
 		if late {
