--- a/internal/gate/pace/pace_test.go
+++ b/internal/gate/pace/pace_test.go
@@ -93,7 +93,7 @@
 }
 
 // TestFactorRecovers stops the observations, as a slow target gets no work, and then
-// goes on with usual ones.
+// adds usual ones.
 func TestFactorRecovers(t *testing.T) {
 	tracker := newTracker(4)
 	observe(tracker, start, 4, 4)
--- a/internal/gate/pick/pick_test.go
+++ b/internal/gate/pick/pick_test.go
@@ -389,7 +389,7 @@
 }
 
 // Pattern: parts that are new everywhere, as after a load of weights. The node that reads
-// the events of a cache may get that of a part before it hears that the part is shared;
+// the events of a cache may get that of a part before it knows that the part is shared;
 // the other nodes must learn all the same that it can be copied.
 func TestEarlyCacheEventsAreReported(t *testing.T) {
 	for name, early := range map[string]bool{"event after the placement": false, "event before the placement": true} {
