Log the limit on replaced weights and the age of a replacement

Cause: logs could not distinguish why a request went to replaced weights: the limit was lifted, the naming was thought younger, or the request waited at the engine.

--- a/internal/gate/host/host.go
+++ b/internal/gate/host/host.go
@@ -144,6 +144,9 @@
 	picker             *pick.Picker
 	// slowTargets are the targets last logged as slow.
 	slowTargets []string
+	// loggedMaxReplacedAge is the last logged limit on the age of replaced weights.
+	// Only the maintenance loop uses it.
+	loggedMaxReplacedAge time.Duration
 
 	pool          *pool.Pool
 	peers         *peers.Peers
--- a/internal/gate/host/state.go
+++ b/internal/gate/host/state.go
@@ -257,11 +257,13 @@
 			h.peers.SetDrained(*own)
 		}
 		draining := h.peers.Drained(now)
+		maxAge := h.maxReplacedAge()
 		h.mu.Lock()
 		expired := h.roster.Expire(now)
 		h.picker.SetDraining(draining)
-		h.picker.SetMaxReplacedAge(now, h.maxReplacedAge())
+		h.picker.SetMaxReplacedAge(now, maxAge)
 		h.mu.Unlock()
+		h.logMaxReplacedAge(maxAge)
 		if expired {
 			h.logger.Info("removed targets with expired entries")
 			h.publishTargets()
@@ -325,6 +327,19 @@
 	return h.bounds.Load().NewWeights - newWeightsMargin
 }
 
+// logMaxReplacedAge logs changes of the limit and updates its gauge.
+func (h *Host) logMaxReplacedAge(limit time.Duration) {
+	limited := 0.0
+	if limit > 0 {
+		limited = 1
+	}
+	h.meter.Scope().Gauge("replaced_weights_limited").Update(limited)
+	if limit != h.loggedMaxReplacedAge {
+		h.logger.Info("limit on replaced weights changed", "fromMs", h.loggedMaxReplacedAge.Milliseconds(), "toMs", limit.Milliseconds())
+		h.loggedMaxReplacedAge = limit
+	}
+}
+
 // compose returns the message for a recipient.
 func (h *Host) compose(to oplog.Recipient, after peers.Cursor) peers.Message {
 	now := time.Now()
--- a/internal/gate/pick/choose.go
+++ b/internal/gate/pick/choose.go
@@ -264,7 +264,10 @@
 	for _, t := range targets {
 		version := t.Versions[r.Prompt.Model]
 		o := s.evaluate(now, t, r, version, s.partsFor(partsByVersion, r, version), holders[version])
-		if since, replaced := versions.replacedAt(version); replaced && now.Sub(since) > staleWeightsGrace {
+		if since, replaced := versions.replacedAt(version); replaced {
+			o.dispatch.ReplacedFor = now.Sub(since)
+		}
+		if o.dispatch.ReplacedFor > staleWeightsGrace {
 			o.cost += staleWeightsCost
 		}
 		if owner, ok := owners[version]; ok && owner != t && o.dispatch.Cached+o.dispatch.Fetched == 0 {
--- a/internal/gate/pick/message.go
+++ b/internal/gate/pick/message.go
@@ -58,6 +58,9 @@
 	Age time.Duration
 	// Slowness is how many times longer the target takes than others of its service.
 	Slowness float64
+	// ReplacedFor is the time since a newer version than Version was announced; zero
+	// if none was.
+	ReplacedFor time.Duration
 }
 
 // Wait means that no target can take the request now, but that one may soon.
