--- /dev/null
+++ b/internal/gate/feed/outage_test.go
@@ -0,0 +1,94 @@
+package feed_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/assert"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/cicadamill/cicadamill/internal/gate/feed"
+)
+
+// contact is the time after a disruption from which on the operators' bounds hold
+// for a host again.
+const contact = 3 * time.Second
+
+// quietStore is a store whose table never changes and whose watches fail for a while.
+type quietStore struct {
+	began time.Time
+	// failFrom and failUntil are when watches that begin then fail.
+	failFrom, failUntil time.Duration
+	// silent is true when failed watches get no answer.
+	silent bool
+}
+
+func (s *quietStore) List(context.Context, string) (feed.Page, error) { return page(3), nil }
+
+func (s *quietStore) Watch(ctx context.Context, _ string, _ uint64, wait time.Duration) (feed.Page, error) {
+	now := time.Since(s.began)
+	failing := now >= s.failFrom && now < s.failUntil
+	switch {
+	case failing && s.silent:
+		<-ctx.Done()
+		return feed.Page{}, ctx.Err()
+	case failing:
+		return feed.Page{}, errUnavailable
+	}
+	select {
+	case <-ctx.Done():
+		return feed.Page{}, ctx.Err()
+	case <-time.After(wait):
+		return page(3), nil
+	}
+}
+
+// TestOneFailedWatchIsNoOutage guards against replaced weights that answered after
+// the operators' bound: a host that had been suspended during a watch counted the
+// store as unavailable until the next watch of an unchanged table returned.
+func TestOneFailedWatchIsNoOutage(t *testing.T) {
+	tests := map[string]struct {
+		store quietStore
+		// outage is true if the store must count as unavailable at the end of the
+		// failures.
+		outage bool
+	}{
+		"suspended during a watch, or a silent connection": {store: quietStore{failFrom: time.Second, failUntil: 6 * time.Second, silent: true}},
+		"connection reset":              {store: quietStore{failFrom: 3600 * time.Millisecond, failUntil: 3900 * time.Millisecond}},
+		"store is down":                 {store: quietStore{failFrom: time.Second, failUntil: 10 * time.Second}, outage: true},
+		"store is down without a reset": {store: quietStore{failFrom: time.Second, failUntil: 15 * time.Second, silent: true}, outage: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := test.store
+				store.began = time.Now()
+				f := feed.New(feed.Options{
+					Table: "t", Source: &store, Reset: func(feed.Page) {}, Change: func(feed.Page) {},
+					Scope: tally.NoopScope, Logger: hclog.NewNullLogger(),
+				})
+				ctx, cancel := context.WithTimeout(t.Context(), 40*time.Second)
+				defer cancel()
+				ended := make(chan error, 1)
+				go func(ctx context.Context) { ended <- f.Serve(ctx) }(ctx)
+				end := store.began.Add(store.failUntil)
+				time.Sleep(time.Until(end))
+				assert.Equal(t, test.outage, f.Unavailable())
+				for time.Since(end) < 20*time.Second {
+					time.Sleep(10 * time.Millisecond)
+					if since := time.Since(end); since >= contact || !test.outage {
+						assert.False(t, f.Unavailable(), "%s after the last failure began", since)
+					}
+					if t.Failed() {
+						break
+					}
+				}
+				cancel()
+				<-ended
+			})
+		})
+	}
+}
