Count the store as unavailable only while calls fail

A host lets replaced weights answer while the store is unavailable. It counted the store as unavailable from one failed watch until the next watch returned, which takes 3.5 s on an unchanged table; a host that was suspended during a watch was in touch again after 3 s. Change: after a failed call the next watch waits for 50 ms only, and the store counts as unavailable once calls have failed for a second. So one failed call lifts nothing, and its end is known at the first success.

--- a/internal/gate/feed/feed.go
+++ b/internal/gate/feed/feed.go
@@ -72,6 +72,13 @@
 	watchWait = 3500 * time.Millisecond
 	// upstreamWatchWait replaces watchWait on a node that other nodes rely on.
 	upstreamWatchWait = time.Second
+	// probeWait replaces watchWait after a failed call, so that the store's return
+	// is noticed at once.
+	probeWait = 50 * time.Millisecond
+	// outageDelay is how long calls must have failed before the store counts as
+	// unavailable. A single call also fails when this process was suspended or a
+	// connection was silent.
+	outageDelay = time.Second
 	// maxUpstreamAge is the maximum age of the upstream node's copy of the
 	// table. It covers upstreamWatchWait and a few messages, and leaves enough
 	// of the five seconds for a new configuration to ask the store directly.
@@ -131,8 +138,8 @@
 	// version of a tombstone that has been pruned.
 	removedAt     map[string]time.Time
 	prunedVersion uint64
-	// failedSince is when the store became unavailable; zero while it is
-	// available.
+	// failedSince is when the first of the failed calls in succession ended; zero
+	// after a successful one.
 	failedSince time.Time
 	unavailable atomic.Bool
 	// wake ends the wait for the upstream node.
@@ -176,7 +183,8 @@
 	return now.Sub(f.confirmedAt), !f.confirmedAt.IsZero()
 }
 
-// Unavailable reports whether the store is unavailable to this node.
+// Unavailable reports whether the store has been unavailable to this node for at
+// least outageDelay.
 func (f *Feed) Unavailable() bool { return f.unavailable.Load() }
 
 // Serve runs until the context ends.
@@ -250,6 +258,9 @@
 
 // watchTime returns how long a watch waits for changes.
 func (f *Feed) watchTime() time.Duration {
+	if !f.failedSince.IsZero() {
+		return probeWait
+	}
 	if f.options.HasChildren != nil && f.options.HasChildren() {
 		return upstreamWatchWait
 	}
@@ -383,9 +394,11 @@
 	f.options.Scope.Counter("feed_failures").Inc(1)
 	if f.failedSince.IsZero() {
 		f.failedSince = time.Now()
-		f.unavailable.Store(true)
 		f.options.Logger.Warn("store lost", "table", f.options.Table, "version", f.Version(), "error", err)
 	}
+	if time.Since(f.failedSince) >= outageDelay {
+		f.unavailable.Store(true)
+	}
 }
 
 func (f *Feed) storeAnswered() {
