Add a failing test: no host takes a naming to be younger than it is

Callers got answers from weights that had been replaced up to 12.1 s ago (bound 12 s). The test fails on this code in all seven cases: only the holder of the order lease stores when weights were named. If it is suspended and the other hosts restart, or all are suspended, before it does, each host takes the naming to be new when it learns of it.

--- /dev/null
+++ b/internal/gate/host/naming_test.go
@@ -0,0 +1,228 @@
+package host
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadamill/cicadamill/internal/gate/feed"
+	"github.com/cicadamill/cicadamill/internal/gate/pick"
+	"github.com/cicadamill/cicadamill/internal/infra/table"
+	"github.com/cicadamill/cicadamill/internal/watch/spool"
+)
+
+// leaseSlack is how much older than it is a naming may be taken to be: two renewals
+// of the lease.
+const leaseSlack = time.Second
+
+// clockStore is an in-memory store with tables, a version counter and a clock that
+// goes on while the hosts are suspended.
+type clockStore struct {
+	mu        sync.Mutex
+	began     time.Time
+	suspended time.Duration
+	version   uint64
+	tables    map[string]map[string]feed.Row
+	changed   chan struct{}
+}
+
+func newClockStore() *clockStore {
+	return &clockStore{
+		began: time.Now(), changed: make(chan struct{}),
+		tables: map[string]map[string]feed.Row{"op": {}, "own": {}, "servers": {}},
+	}
+}
+
+// now is the time by a clock that counts suspensions.
+func (s *clockStore) now() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Now().Add(s.suspended)
+}
+
+// suspend lets time pass that the hosts' monotonic clocks don't count.
+func (s *clockStore) suspend(span time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspended += span
+}
+
+// put writes a row; notify wakes the watches.
+func (s *clockStore) put(table, key string, value []byte, notify bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.tables[table][key] = feed.Row{Key: key, Value: value, Version: s.version}
+	if notify {
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+}
+
+func (s *clockStore) page(table string, after uint64) feed.Page {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	page := feed.Page{Version: s.version, Clock: time.Since(s.began) + s.suspended}
+	for _, key := range slices.Sorted(maps.Keys(s.tables[table])) {
+		if row := s.tables[table][key]; row.Version > after {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	return page
+}
+
+func (s *clockStore) List(_ context.Context, table string) (feed.Page, error) {
+	return s.page(table, 0), nil
+}
+
+func (s *clockStore) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (feed.Page, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		changed := s.changed
+		s.mu.Unlock()
+		if page := s.page(table, after); len(page.Rows) > 0 {
+			return page, nil
+		}
+		select {
+		case <-ctx.Done():
+			return feed.Page{}, ctx.Err()
+		case <-timer.C:
+			return s.page(table, after), nil
+		case <-changed:
+		}
+	}
+}
+
+// clockRows gives access to the own table of a clockStore.
+type clockRows struct {
+	*clockStore
+	// failing makes writes of announcement times fail.
+	failing *bool
+}
+
+func (r clockRows) List(context.Context, string, string, int) ([]table.Row, error) { return nil, nil }
+
+func (r clockRows) Commit(_ context.Context, txn table.Txn) error {
+	for _, put := range txn.Puts {
+		if *r.failing && put.Key == announcedPrefix+"m" {
+			return &table.OutageError{Message: "announcement times can't be written"}
+		}
+		r.put("own", put.Key, put.Value, true)
+	}
+	return nil
+}
+
+// startHost runs the parts of a host that learn of announced weights. The returned
+// function ends them as a crash does: nothing is released.
+func startHost(t *testing.T, s *clockStore, failing *bool) (*Host, func()) {
+	t.Helper()
+	h := New(Settings{Name: "a", DataCentre: "east", Bounds: Bounds{NewWeights: 12 * time.Second, Lease: 3 * time.Second}},
+		Platform{
+			Source: s, Table: rowsOf(s, failing), Engines: noEngines{}, Now: s.now,
+			OwnTable: "own", OperatorTable: "op", TargetTable: "servers",
+			DecodeOperator: func(row feed.Row) (OperatorChange, error) {
+				version, err := strconv.ParseUint(string(row.Value), 10, 64)
+				return WeightsChange{Model: "m", Version: version}, err
+			},
+		}, hclog.NewNullLogger(), spool.New(nil))
+	ctx, cancel := context.WithCancel(t.Context())
+	parts := []func(context.Context) error{h.feeds["op"].Serve, h.register, h.runAnnouncements, h.maintain, h.orders.Serve}
+	ended := make(chan error, len(parts))
+	for _, part := range parts {
+		go func(ctx context.Context) { ended <- part(ctx) }(ctx)
+	}
+	return h, func() {
+		cancel()
+		for range parts {
+			<-ended
+		}
+		_ = h.meter.Close()
+	}
+}
+
+func ageOf(t *testing.T, h *Host, version uint64) time.Duration {
+	t.Helper()
+	all := h.announcements("m")
+	i, found := slices.BinarySearchFunc(all, version, func(a pick.AnnouncedVersion, v uint64) int { return cmp.Compare(a.Version, v) })
+	require.True(t, found, "version %d isn't known", version)
+	return all[i].Age
+}
+
+// TestNamingIsNeverYounger guards against replaced weights that answered after the
+// operators' bound: hosts that all restarted, or were all suspended, before the time
+// of a naming was stored took it to be new.
+func TestNamingIsNeverYounger(t *testing.T) {
+	tests := map[string]struct {
+		// away is how long the hosts are away right after the naming.
+		away time.Duration
+		// suspended is true if the hosts are suspended meanwhile, else they restart.
+		suspended bool
+	}{
+		"restart at once":          {away: 500 * time.Millisecond},
+		"without power for 3 s":    {away: 3 * time.Second},
+		"suspended for 3 s":        {away: 3 * time.Second, suspended: true},
+		"suspended for 9 s":        {away: 9 * time.Second, suspended: true},
+		"power off for 8 s":        {away: 8 * time.Second},
+		"suspended for a moment":   {away: 700 * time.Millisecond, suspended: true},
+		"restarted within a tenth": {away: 100 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, failing := newClockStore(), false
+				s.put("op", "version/m", []byte("1"), true)
+				h, stop := startHost(t, s, &failing)
+				time.Sleep(8 * time.Second)
+				failing = true
+				named := s.now()
+				if test.suspended {
+					s.put("op", "version/m", []byte("2"), false)
+					s.suspend(test.away)
+					s.put("op", "other", []byte("x"), true)
+				} else {
+					stop()
+					s.put("op", "version/m", []byte("2"), true)
+					time.Sleep(test.away)
+					h, stop = startHost(t, s, &failing)
+				}
+				failing = false
+				time.Sleep(4 * time.Second)
+				age := s.now().Sub(named)
+				assert.GreaterOrEqual(t, ageOf(t, h, 2), age)
+				assert.LessOrEqual(t, ageOf(t, h, 2), age+leaseSlack)
+				stop()
+				reader, stop := startHost(t, s, &failing)
+				time.Sleep(time.Second)
+				age = s.now().Sub(named)
+				assert.GreaterOrEqual(t, ageOf(t, reader, 2), age, "the stored time must not be later either")
+				assert.LessOrEqual(t, ageOf(t, reader, 2), age+leaseSlack)
+				stop()
+			})
+		})
+	}
+}
+
+// rowsOf returns the own rows of a store.
+func rowsOf(s *clockStore, failing *bool) clockRows {
+	return clockRows{clockStore: s, failing: failing}
+}
+
+// Get implements [table.Client].
+func (r clockRows) Get(_ context.Context, key string) (table.Row, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	row := r.tables["own"][key]
+	return table.Row{Key: key, Value: row.Value, Version: row.Version}, nil
+}
