--- a/internal/gate/feed/outage_test.go
+++ b/internal/gate/feed/outage_test.go
@@ -64,31 +64,34 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				store := test.store
-				store.began = time.Now()
-				f := feed.New(feed.Options{
-					Table: "t", Source: &store, Reset: func(feed.Page) {}, Change: func(feed.Page) {},
-					Scope: tally.NoopScope, Logger: hclog.NewNullLogger(),
-				})
-				ctx, cancel := context.WithTimeout(t.Context(), 40*time.Second)
-				defer cancel()
-				ended := make(chan error, 1)
-				go func(ctx context.Context) { ended <- f.Serve(ctx) }(ctx)
-				end := store.began.Add(store.failUntil)
-				time.Sleep(time.Until(end))
-				assert.Equal(t, test.outage, f.Unavailable())
-				for time.Since(end) < 20*time.Second {
-					time.Sleep(10 * time.Millisecond)
-					if since := time.Since(end); since >= contact || !test.outage {
-						assert.False(t, f.Unavailable(), "%s after the last failure began", since)
-					}
-					if t.Failed() {
-						break
-					}
-				}
-				cancel()
-				<-ended
+				assertAvailability(t, test.store, test.outage)
 			})
 		})
 	}
 }
+
+// assertAvailability runs a feed from a store, and checks that the store counts as
+// unavailable only if its failures are an outage, and from contact after them on no
+// more.
+func assertAvailability(t *testing.T, store quietStore, outage bool) {
+	t.Helper()
+	store.began = time.Now()
+	f := feed.New(feed.Options{
+		Table: "t", Source: &store, Reset: func(feed.Page) {}, Change: func(feed.Page) {},
+		Scope: tally.NoopScope, Logger: hclog.NewNullLogger(),
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 40*time.Second)
+	ended := make(chan error, 1)
+	go func(ctx context.Context) { ended <- f.Serve(ctx) }(ctx)
+	end := store.began.Add(store.failUntil)
+	time.Sleep(time.Until(end))
+	assert.Equal(t, outage, f.Unavailable())
+	for time.Since(end) < 20*time.Second && !t.Failed() {
+		time.Sleep(10 * time.Millisecond)
+		if since := time.Since(end); since >= contact || !outage {
+			assert.False(t, f.Unavailable(), "%s after the last failure began", since)
+		}
+	}
+	cancel()
+	<-ended
+}
