Bound the age of weights whose naming nobody saw

Callers got answers from weights that had been replaced longer ago than the operators allow. The rollout's limit counts from when a version was named. Only the holder of the order lease stored that time; a host that learned of the version late, after a restart or a suspension, took it to be new unless another host had seen it. Class: the time of an event is known only to those who saw it, and absence of knowledge counted as 'just now'. Change: each renewal of the lease stores marks: the store's newest version beside its clock. A host that learns of a version late (the first list, after failed calls or lost history, or right after a stall) reads the gateway's rows at once and takes the last mark before the naming as its time, if the time isn't stored. A holder reads the rows before it stores times. TestGetMissingRow expects the time of the read as well, which rows have now.

--- a/internal/gate/feed/feed.go
+++ b/internal/gate/feed/feed.go
@@ -39,6 +39,9 @@
 	// Whole is true when the page has the whole table, so that rows missing
 	// from it have been removed.
 	Whole bool `json:"whole,omitempty"`
+	// Late is true when the rows may have been written long before, since this node
+	// did not watch the table meanwhile.
+	Late bool `json:"-"`
 }
 
 // Source reads tables from the store.
@@ -331,11 +334,13 @@
 	}
 	f.prune(time.Now())
 	f.mu.Unlock()
+	page.Late = true
 	f.options.Reset(page)
 }
 
 func (f *Feed) change(page Page) {
 	f.mu.Lock()
+	page.Late = f.version == 0 || !f.failedSince.IsZero()
 	f.version = max(f.version, page.Version)
 	for _, row := range page.Rows {
 		if row.Version >= f.rows[row.Key].Version {
--- /dev/null
+++ b/internal/gate/host/announce.go
@@ -0,0 +1,164 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"time"
+
+	"github.com/cicadamill/cicadamill/internal/gate/feed"
+	"github.com/cicadamill/cicadamill/internal/gate/pick"
+	"github.com/cicadamill/cicadamill/internal/infra/mark"
+)
+
+const (
+	// announcedPrefix is the key prefix of the rows with the announcement times of
+	// weights.
+	announcedPrefix = "named/"
+	// maxAnnouncements bounds the announcements stored per model.
+	maxAnnouncements = 8
+)
+
+// announcementRow holds the announcement times of a model's weights by the store's
+// clock, so that their ages can be computed after a restart of all hosts.
+type announcementRow struct {
+	Named []announcement `json:"named"`
+}
+
+type announcement struct {
+	Version     uint64 `json:"version"`
+	ClockMillis int64  `json:"clockMillis"`
+}
+
+// modelVersion is a version of a model's weights.
+type modelVersion struct {
+	model   string
+	version uint64
+}
+
+// announceWeights records an announced version of a model's weights.
+func (h *Host) announceWeights(model string, announced pick.AnnouncedVersion) {
+	h.mu.Lock()
+	newest := h.picker.Announce(time.Now(), model, announced)
+	h.mu.Unlock()
+	if newest {
+		h.logger.Info("weights named", "model", model, "weights", announced.Version, "ageMs", announced.Age.Milliseconds())
+	}
+}
+
+// announceLate records that a version was announced at an unknown time before now. Its
+// age is at least zero until the gateway's own rows have been read.
+func (h *Host) announceLate(n WeightsChange, rowVersion uint64) {
+	h.mu.Lock()
+	h.unknownAges[modelVersion{n.Model, n.Version}] = rowVersion
+	h.mu.Unlock()
+	select {
+	case h.ageUnknown <- struct{}{}:
+	default:
+	}
+}
+
+// announcementsOfUnknownAge returns the store versions of the rows by which this host
+// learned late of announcements.
+func (h *Host) announcementsOfUnknownAge() map[modelVersion]uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return maps.Clone(h.unknownAges)
+}
+
+// boundAges sets an upper bound of the ages of announcements that were unknown before
+// the page of the gateway's own rows was read. If it is stored when the version was
+// announced, that time has been applied already.
+func (h *Host) boundAges(page feed.Page, marks mark.History, unknown map[modelVersion]uint64) {
+	for n, rowVersion := range unknown {
+		after, bounded := marks.WrittenAfter(rowVersion)
+		h.mu.Lock()
+		delete(h.unknownAges, n)
+		_, stored := h.storedAges[n]
+		h.mu.Unlock()
+		switch {
+		case stored:
+		case bounded:
+			age := max(page.Clock-after, 0)
+			h.announceWeights(n.model, pick.AnnouncedVersion{Version: n.version, Age: age})
+			h.logger.Info("age of named weights bounded", "model", n.model, "weights", n.version, "ageMs", age.Milliseconds())
+		default:
+			h.logger.Warn("age of named weights unknown", "model", n.model, "weights", n.version)
+		}
+	}
+}
+
+// readAnnouncements applies a row with announcement times.
+func (h *Host) readAnnouncements(page feed.Page, model string, value []byte) error {
+	var row announcementRow
+	if err := json.Unmarshal(value, &row); err != nil {
+		return err
+	}
+	for _, a := range row.Named {
+		age := page.Clock - time.Duration(a.ClockMillis)*time.Millisecond
+		h.announceWeights(model, pick.AnnouncedVersion{Version: a.Version, Age: max(age, 0)})
+		h.mu.Lock()
+		h.storedAges[modelVersion{model, a.Version}] = struct{}{}
+		h.mu.Unlock()
+	}
+	return nil
+}
+
+// storeAnnouncements writes the announcement times of a model's weights. The host
+// that sends the orders does this. It reads the rows first, which may tell it that an
+// announcement is older. It computes the ages before it reads the clock: if the
+// process is paused in between, the stored ages must not become too large, or hosts
+// that read them would let no engine answer.
+func (h *Host) storeAnnouncements(ctx context.Context, model string) error {
+	if err := h.readRows(ctx); err != nil {
+		return err
+	}
+	known := h.announcements(model)
+	page, err := h.platform.Source.List(ctx, h.platform.OwnTable)
+	if err != nil {
+		return err
+	}
+	var row announcementRow
+	for _, announced := range known {
+		row.Named = append(row.Named, announcement{Version: announced.Version, ClockMillis: (page.Clock - announced.Age).Milliseconds()})
+	}
+	row.Named = row.Named[max(0, len(row.Named)-maxAnnouncements):]
+	value, err := json.Marshal(row)
+	if err != nil {
+		return err
+	}
+	return h.put(ctx, announcedPrefix+model, value)
+}
+
+func (h *Host) announcements(model string) []pick.AnnouncedVersion {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.picker.Announced(time.Now(), model)
+}
+
+// runAnnouncements stores the announcement times of each model that has a new
+// version. A host that has only heard of it from another one waits until it has read
+// the row itself, since the other may not know the age yet.
+func (h *Host) runAnnouncements(ctx context.Context) error {
+	written := map[string]uint64{}
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(orderInterval):
+		}
+		if _, listed := h.feeds[h.platform.OperatorTable].ConfirmedAge(time.Now()); !listed || h.orders.Fence() == 0 {
+			continue
+		}
+		for model, version := range h.wanted() {
+			if written[model] == version {
+				continue
+			}
+			if err := h.storeAnnouncements(ctx, model); err != nil {
+				h.logger.Info("failed to store announcement times", "model", model, "weights", version, "error", err)
+				continue
+			}
+			written[model] = version
+		}
+	}
+}
--- a/internal/gate/host/host.go
+++ b/internal/gate/host/host.go
@@ -35,6 +35,7 @@
 	"github.com/cicadamill/cicadamill/internal/node/orders"
 	"github.com/cicadamill/cicadamill/internal/route/quota"
 	"github.com/cicadamill/cicadamill/internal/safety/poison"
+	"github.com/cicadamill/cicadamill/internal/safety/stall"
 	"github.com/cicadamill/cicadamill/internal/watch/meter"
 	"github.com/cicadamill/cicadamill/internal/watch/spool"
 )
@@ -142,6 +143,11 @@
 	positionUpdates    *oplog.Log[positionUpdate]
 	positionReportedAt map[string]time.Time
 	picker             *pick.Picker
+	// unknownAges are announcements that this host learned of late, by the store
+	// version of their row; storedAges are those whose time is in the store.
+	unknownAges map[modelVersion]uint64
+	storedAges  map[modelVersion]struct{}
+	stalls      stall.Detector
 	// slowTargets are the targets last logged as slow.
 	slowTargets []string
 	// loggedMaxReplacedAge is the last logged limit on the age of replaced weights.
@@ -156,7 +162,9 @@
 	server        *listen.Server
 	feeds         map[string]*feed.Feed
 	targetsListed atomic.Bool
-	stop          stopState
+	// ageUnknown receives a value when unknownAges has grown.
+	ageUnknown chan struct{}
+	stop       stopState
 }
 
 const (
@@ -185,6 +193,7 @@
 		cachePositions: map[string]caches.Position{}, positionUpdates: oplog.New[positionUpdate](maxPositions), positionReportedAt: map[string]time.Time{},
 		picker: pick.New(pick.Options{DataCentre: settings.DataCentre, Seed: seedOf(settings.Name)}),
 		meter:  meter.New(time.Second, logger), feeds: map[string]*feed.Feed{},
+		unknownAges: map[modelVersion]uint64{}, storedAges: map[modelVersion]struct{}{}, ageUnknown: make(chan struct{}, 1),
 	}
 	h.targets.Store(&map[string]roster.Target{})
 	h.bounds.Store(&settings.Bounds)
--- a/internal/gate/host/host_test.go
+++ b/internal/gate/host/host_test.go
@@ -66,7 +66,7 @@
 func newHost(s *fakeStore) *Host {
 	return New(Settings{Name: "a", DataCentre: "east", Bounds: Bounds{NewWeights: 15 * time.Second, Lease: 3 * time.Second, Grace: 8 * time.Second}},
 		Platform{
-			Source: s, Table: fakeTable{s}, Engines: noEngines{}, OwnTable: "own", OperatorTable: "op", TargetTable: "servers",
+			Source: s, Table: fakeTable{s}, Engines: noEngines{}, Now: time.Now, OwnTable: "own", OperatorTable: "op", TargetTable: "servers",
 			DecodeOperator: func(row feed.Row) (OperatorChange, error) {
 				if row.Key == "bad" {
 					return nil, &json.SyntaxError{}
--- a/internal/gate/host/naming_test.go
+++ b/internal/gate/host/naming_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/cicadamill/cicadamill/internal/gate/feed"
 	"github.com/cicadamill/cicadamill/internal/gate/pick"
+	"github.com/cicadamill/cicadamill/internal/infra/mark"
 	"github.com/cicadamill/cicadamill/internal/infra/table"
 	"github.com/cicadamill/cicadamill/internal/watch/spool"
 )
@@ -224,5 +225,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	row := r.tables["own"][key]
-	return table.Row{Key: key, Value: row.Value, Version: row.Version}, nil
+	return table.Row{
+		Key: key, Value: row.Value, Version: row.Version,
+		ReadAt: mark.Mark{Version: r.version, ClockMillis: (time.Since(r.began) + r.suspended).Milliseconds()},
+	}, nil
 }
--- a/internal/gate/host/rows.go
+++ b/internal/gate/host/rows.go
@@ -8,9 +8,10 @@
 	"time"
 
 	"github.com/cicadamill/cicadamill/internal/gate/feed"
-	"github.com/cicadamill/cicadamill/internal/gate/pick"
 	"github.com/cicadamill/cicadamill/internal/gate/tree"
+	"github.com/cicadamill/cicadamill/internal/infra/mark"
 	"github.com/cicadamill/cicadamill/internal/infra/table"
+	"github.com/cicadamill/cicadamill/internal/node/orders"
 )
 
 const (
@@ -24,11 +25,6 @@
 	registerTimeout = time.Second
 	// hostPrefix is the key prefix of host rows.
 	hostPrefix = "hosts/"
-	// announcedPrefix is the key prefix of the rows with the announcement times of
-	// weights.
-	announcedPrefix = "named/"
-	// maxAnnouncements bounds the announcements stored per model.
-	maxAnnouncements = 8
 )
 
 // hostRow is the row of a host.
@@ -38,17 +34,6 @@
 	Strength   float64 `json:"strength,omitempty"`
 }
 
-// announcementRow holds the announcement times of a model's weights by the store's
-// clock, so that their ages can be computed after a restart of all hosts.
-type announcementRow struct {
-	Named []announcement `json:"named"`
-}
-
-type announcement struct {
-	Version     uint64 `json:"version"`
-	ClockMillis int64  `json:"clockMillis"`
-}
-
 // register writes this host's row once and periodically reads the others.
 func (h *Host) register(ctx context.Context) error {
 	for _, address := range h.settings.Seeds {
@@ -67,15 +52,25 @@
 			h.logger.Info("failed to read or write host rows; retrying", "error", err)
 			pause = registerRetry
 		}
-		for {
-			select {
-			case <-ctx.Done():
-				return ctx.Err()
-			case <-time.After(pause):
-			}
-			if err != nil || h.peers.Parent() == "" || h.peers.LacksAddress() {
-				break
-			}
+		if !h.waitToRead(ctx, pause, err != nil) {
+			return ctx.Err()
+		}
+	}
+}
+
+// waitToRead waits until the rows must be read again: after the pause, or at once when
+// the age of an announcement is unknown. It returns false when the context ends.
+func (h *Host) waitToRead(ctx context.Context, pause time.Duration, failed bool) bool {
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(pause):
+		case <-h.ageUnknown:
+			return true
+		}
+		if failed || h.peers.Parent() == "" || h.peers.LacksAddress() {
+			return true
 		}
 	}
 }
@@ -99,20 +94,27 @@
 func (h *Host) readRows(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
+	unknown := h.announcementsOfUnknownAge()
 	page, err := h.platform.Source.List(ctx, h.platform.OwnTable)
 	if err != nil {
 		return err
 	}
+	var marks mark.History
 	for _, row := range page.Rows {
-		if err := h.readRow(page, row); err != nil {
+		if err := h.readRow(page, row, &marks); err != nil {
 			h.meter.Scope().Counter("rows_unreadable").Inc(1)
 			h.logger.Warn("failed to decode row", "key", row.Key, "version", row.Version, "error", err)
 		}
 	}
+	h.boundAges(page, marks, unknown)
 	return nil
 }
 
-func (h *Host) readRow(page feed.Page, row feed.Row) error {
+func (h *Host) readRow(page feed.Page, row feed.Row, marks *mark.History) (err error) {
+	if row.Key == orders.LeaseKey {
+		*marks, err = orders.ReadMarks(row.Value)
+		return err
+	}
 	if name, ok := strings.CutPrefix(row.Key, hostPrefix); ok {
 		var m hostRow
 		if err := json.Unmarshal(row.Value, &m); err != nil {
@@ -121,68 +123,7 @@
 		h.peers.Add(tree.Node{Name: name, DataCentre: m.DataCentre, Strength: m.Strength}, m.Address)
 	}
 	if model, ok := strings.CutPrefix(row.Key, announcedPrefix); ok {
-		var n announcementRow
-		if err := json.Unmarshal(row.Value, &n); err != nil {
-			return err
-		}
-		for _, a := range n.Named {
-			age := page.Clock - time.Duration(a.ClockMillis)*time.Millisecond
-			h.announceWeights(model, pick.AnnouncedVersion{Version: a.Version, Age: max(age, 0)})
-		}
+		return h.readAnnouncements(page, model, row.Value)
 	}
 	return nil
 }
-
-// storeAnnouncements writes the announcement times of a model's weights. The host
-// that sends the orders does this. It computes the ages before it reads the clock:
-// if the process is paused in between, the stored ages must not become too large,
-// or hosts that read them would let no engine answer.
-func (h *Host) storeAnnouncements(ctx context.Context, model string) error {
-	known := h.announcements(model)
-	page, err := h.platform.Source.List(ctx, h.platform.OwnTable)
-	if err != nil {
-		return err
-	}
-	var row announcementRow
-	for _, announced := range known {
-		row.Named = append(row.Named, announcement{Version: announced.Version, ClockMillis: (page.Clock - announced.Age).Milliseconds()})
-	}
-	row.Named = row.Named[max(0, len(row.Named)-maxAnnouncements):]
-	value, err := json.Marshal(row)
-	if err != nil {
-		return err
-	}
-	return h.put(ctx, announcedPrefix+model, value)
-}
-
-func (h *Host) announcements(model string) []pick.AnnouncedVersion {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.picker.Announced(time.Now(), model)
-}
-
-// runAnnouncements stores the announcement times of each model that has a new
-// version.
-func (h *Host) runAnnouncements(ctx context.Context) error {
-	written := map[string]uint64{}
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(orderInterval):
-		}
-		if h.orders.Fence() == 0 {
-			continue
-		}
-		for model, version := range h.wanted() {
-			if written[model] == version {
-				continue
-			}
-			if err := h.storeAnnouncements(ctx, model); err != nil {
-				h.logger.Info("failed to store announcement times", "model", model, "weights", version, "error", err)
-				continue
-			}
-			written[model] = version
-		}
-	}
-}
--- a/internal/gate/host/state.go
+++ b/internal/gate/host/state.go
@@ -82,6 +82,7 @@
 
 // operatorRows applies rows that operators wrote.
 func (h *Host) operatorRows(page feed.Page) {
+	late := h.observeClocks() || page.Late
 	for _, row := range page.Rows {
 		if row.Removed {
 			continue
@@ -97,6 +98,9 @@
 			h.applyPlan(n)
 		case WeightsChange:
 			h.announceWeights(n.Model, pick.AnnouncedVersion{Version: n.Version})
+			if late {
+				h.announceLate(n, row.Version)
+			}
 		}
 	}
 }
@@ -121,16 +125,6 @@
 	h.refreshReady()
 }
 
-// announceWeights records an announced version of a model's weights.
-func (h *Host) announceWeights(model string, announced pick.AnnouncedVersion) {
-	h.mu.Lock()
-	newest := h.picker.Announce(time.Now(), model, announced)
-	h.mu.Unlock()
-	if newest {
-		h.logger.Info("weights named", "model", model, "weights", announced.Version, "ageMs", announced.Age.Milliseconds())
-	}
-}
-
 func (h *Host) wanted() map[string]uint64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -250,6 +244,7 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
+		h.observeClocks()
 		if step%sweepTicks == 0 {
 			h.sweep(now)
 		}
@@ -275,6 +270,15 @@
 	}
 }
 
+// observeClocks records that the process runs, and reports whether what it learns now
+// may have happened long before because it was stalled.
+func (h *Host) observeClocks() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stalls.Observe(time.Now(), h.platform.Now())
+	return h.stalls.Late()
+}
+
 // sweep drops outdated load reports and the positions of caches that no longer
 // exist.
 func (h *Host) sweep(now time.Time) {
--- /dev/null
+++ b/internal/infra/mark/mark.go
@@ -0,0 +1,42 @@
+// Package mark bounds the age of rows that nobody saw being written. The store reports
+// no write times, but each of its responses has its newest version and its clock: a
+// row with a higher version was written later.
+package mark
+
+import "time"
+
+// maxMarks bounds the length of a [History].
+const maxMarks = 12
+
+// Mark is a moment of the store.
+type Mark struct {
+	// Version is the store's newest version at that moment.
+	Version uint64 `json:"version"`
+	// ClockMillis is the store's clock at that moment.
+	ClockMillis int64 `json:"clockMillis"`
+}
+
+// History is a list of marks in ascending order. It is stored with a row that is
+// written often.
+type History []Mark
+
+// Add returns the history with a later mark. A mark without a version is ignored: the
+// store reports none.
+func (h History) Add(m Mark) History {
+	if m.Version == 0 || len(h) > 0 && m.ClockMillis < h[len(h)-1].ClockMillis {
+		return h
+	}
+	h = append(h[:len(h):len(h)], m)
+	return h[max(0, len(h)-maxMarks):]
+}
+
+// WrittenAfter returns a time by the store's clock after which a row of the given
+// version was written; false if the history has no older mark.
+func (h History) WrittenAfter(version uint64) (time.Duration, bool) {
+	for i := len(h) - 1; i >= 0; i-- {
+		if h[i].Version < version {
+			return time.Duration(h[i].ClockMillis) * time.Millisecond, true
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/infra/mark/mark_test.go
@@ -0,0 +1,44 @@
+package mark_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/cicadamill/cicadamill/internal/infra/mark"
+)
+
+func ExampleHistory() {
+	var history mark.History
+	history = history.Add(mark.Mark{Version: 7, ClockMillis: 1000})
+	history = history.Add(mark.Mark{Version: 9, ClockMillis: 1500})
+	fmt.Println(history.WrittenAfter(8))
+	// Output: 1s true
+}
+
+func TestWrittenAfter(t *testing.T) {
+	var history mark.History
+	for i := range int64(30) {
+		history = history.Add(mark.Mark{Version: uint64(10 * (i + 1)), ClockMillis: 500 * i})
+	}
+	history = history.Add(mark.Mark{}).Add(mark.Mark{Version: 900, ClockMillis: 1})
+	tests := map[string]struct {
+		version uint64
+		want    time.Duration
+		found   bool
+	}{
+		"newer than all marks":      {305, 14500 * time.Millisecond, true},
+		"between two":               {295, 14 * time.Second, true},
+		"of the version of a mark":  {290, 13500 * time.Millisecond, true},
+		"older than all kept marks": {100, 0, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got, found := history.WrittenAfter(test.version)
+			assert.Equal(t, test.found, found)
+			assert.Equal(t, test.want, got)
+		})
+	}
+}
--- a/internal/infra/table/table.go
+++ b/internal/infra/table/table.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"fmt"
+
+	"github.com/cicadamill/cicadamill/internal/infra/mark"
 )
 
 // Client reads and writes rows. It is safe for concurrent use.
@@ -32,6 +34,8 @@
 	// Version increases with each write of the row and is never reused, even if
 	// the row is deleted and created again; zero means that there is no row.
 	Version uint64 `json:"version"`
+	// ReadAt is when the row was read; it has no version if the service reports none.
+	ReadAt mark.Mark `json:"-"`
 }
 
 // Put is a conditional write of one row.
--- a/internal/node/orders/orders.go
+++ b/internal/node/orders/orders.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/cicadamill/cicadamill/internal/config/site"
+	"github.com/cicadamill/cicadamill/internal/infra/mark"
 	"github.com/cicadamill/cicadamill/internal/infra/table"
 	"github.com/cicadamill/cicadamill/internal/safety/lease"
 	"github.com/cicadamill/cicadamill/internal/safety/order"
@@ -78,7 +79,9 @@
 	fence     uint64
 	lastRead  time.Time
 	lastOrder time.Time
-	granted   atomic.Pointer[lease.Grant]
+	// marks are those of the lease's row as last read, and the time of that read.
+	marks   mark.History
+	granted atomic.Pointer[lease.Grant]
 }
 
 // New returns a Sender. It competes for the lease while Serve runs.
--- a/internal/node/orders/send.go
+++ b/internal/node/orders/send.go
@@ -8,6 +8,7 @@
 
 	jujuerrors "github.com/juju/errors"
 
+	"github.com/cicadamill/cicadamill/internal/infra/mark"
 	"github.com/cicadamill/cicadamill/internal/infra/table"
 	"github.com/cicadamill/cicadamill/internal/safety/effect"
 	"github.com/cicadamill/cicadamill/internal/safety/lease"
@@ -28,16 +29,31 @@
 		s.options.Scope.Counter("orders_lease_down").Inc(1)
 		return lease.Unavailable{}
 	}
-	found := lease.Row{Version: row.Version}
-	if row.Version > 0 && json.Unmarshal(row.Value, &found.Record) != nil {
+	var stored storedLease
+	if row.Version > 0 && json.Unmarshal(row.Value, &stored) != nil {
 		s.options.Scope.Counter("orders_lease_malformed").Inc(1)
 		return lease.Unavailable{}
 	}
-	return found
+	s.marks = stored.Marks.Add(row.ReadAt)
+	return lease.Row{Version: row.Version, Record: stored.Record}
+}
+
+// storedLease is the value of the lease's row. Its marks relate versions of the store
+// to times, since no other row is written as often.
+type storedLease struct {
+	lease.Record
+	Marks mark.History `json:"marks,omitempty"`
+}
+
+// ReadMarks returns the marks in the value of the lease's row.
+func ReadMarks(value []byte) (mark.History, error) {
+	var stored storedLease
+	err := json.Unmarshal(value, &stored)
+	return stored.Marks, jujuerrors.Annotate(err, "decoding the lease")
 }
 
 func (s *Sender) writeLease(ctx context.Context, c lease.Write) lease.Message {
-	value, err := json.Marshal(c.Record)
+	value, err := json.Marshal(storedLease{Record: c.Record, Marks: s.marks})
 	if err != nil {
 		return lease.Unavailable{}
 	}
