Count suspensions in the age of named weights

Callers could get answers from weights that had been replaced longer ago than the operators allow: a host that had been suspended took every naming to be younger by that time, since the monotonic clock doesn't count it. Other hosts corrected that for the newest version only, and not if all had been suspended. Change: the maintenance loop compares both clocks, and so does whatever learns from the store or another host before it applies it; announcements age by the difference. Result: TestSuspensionAgesNamings failed before in both cases (ages too small by 7 s and by 0.3 s) and passes.

--- a/internal/gate/host/naming_test.go
+++ b/internal/gate/host/naming_test.go
@@ -230,3 +230,33 @@
 		ReadAt: mark.Mark{Version: r.version, ClockMillis: (time.Since(r.began) + r.suspended).Milliseconds()},
 	}, nil
 }
+
+// TestSuspensionAgesNamings guards against replaced weights that answered after the
+// operators' bound: a host that had been suspended didn't count that time.
+func TestSuspensionAgesNamings(t *testing.T) {
+	tests := map[string]struct{ before, suspended, after time.Duration }{
+		"between two namings": {before: 2 * time.Second, suspended: 7 * time.Second, after: time.Second},
+		"briefly":             {before: 5 * time.Second, suspended: 300 * time.Millisecond, after: 3 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, failing := newClockStore(), true
+				s.put("op", "version/m", []byte("1"), true)
+				h, stop := startHost(t, s, &failing)
+				defer stop()
+				time.Sleep(2 * time.Second)
+				s.put("op", "version/m", []byte("2"), true)
+				named := s.now()
+				time.Sleep(test.before)
+				s.suspend(test.suspended)
+				time.Sleep(1500 * time.Millisecond)
+				s.put("op", "version/m", []byte("3"), true)
+				next := s.now()
+				time.Sleep(test.after)
+				assert.InDelta(t, s.now().Sub(named).Seconds(), ageOf(t, h, 2).Seconds(), 0.05)
+				assert.InDelta(t, s.now().Sub(next).Seconds(), ageOf(t, h, 3).Seconds(), 0.05, "a later naming isn't aged by it")
+			})
+		})
+	}
+}
--- a/internal/gate/host/state.go
+++ b/internal/gate/host/state.go
@@ -275,7 +275,10 @@
 func (h *Host) observeClocks() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.stalls.Observe(time.Now(), h.platform.Now())
+	if lost := h.stalls.Observe(time.Now(), h.platform.Now()); lost > 0 {
+		h.picker.AgeAnnouncements(lost)
+		h.logger.Info("host was suspended", "forMs", lost.Milliseconds())
+	}
 	return h.stalls.Late()
 }
 
@@ -428,6 +431,7 @@
 }
 
 func (h *Host) receive(from oplog.Origin, m peers.Message, countLoad bool) {
+	h.observeClocks()
 	now := time.Now()
 	h.mu.Lock()
 	if countLoad {
--- a/internal/gate/pick/pick.go
+++ b/internal/gate/pick/pick.go
@@ -195,6 +195,16 @@
 	return newest
 }
 
+// AgeAnnouncements makes all announcements older, by time that the clock of the other
+// methods has not counted.
+func (s *Picker) AgeAnnouncements(by time.Duration) {
+	for _, m := range s.models {
+		for i := range m.announced {
+			m.announced[i].since = m.announced[i].since.Add(-by)
+		}
+	}
+}
+
 // Announced returns the announced versions of a model that are kept, oldest first.
 func (s *Picker) Announced(now time.Time, model string) []AnnouncedVersion {
 	var all []AnnouncedVersion
