--- a/internal/gate/host/naming_test.go
+++ b/internal/gate/host/naming_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -110,14 +111,14 @@
 type clockRows struct {
 	*clockStore
 	// failing makes writes of announcement times fail.
-	failing *bool
+	failing *atomic.Bool
 }
 
 func (r clockRows) List(context.Context, string, string, int) ([]table.Row, error) { return nil, nil }
 
 func (r clockRows) Commit(_ context.Context, txn table.Txn) error {
 	for _, put := range txn.Puts {
-		if *r.failing && put.Key == announcedPrefix+"m" {
+		if r.failing.Load() && put.Key == announcedPrefix+"m" {
 			return &table.OutageError{Message: "announcement times can't be written"}
 		}
 		r.put("own", put.Key, put.Value, true)
@@ -127,7 +128,7 @@
 
 // startHost runs the parts of a host that learn of announced weights. The returned
 // function ends them as a crash does: nothing is released.
-func startHost(t *testing.T, s *clockStore, failing *bool) (*Host, func()) {
+func startHost(t *testing.T, s *clockStore, failing *atomic.Bool) (*Host, func()) {
 	t.Helper()
 	h := New(Settings{Name: "a", DataCentre: "east", Bounds: Bounds{NewWeights: 12 * time.Second, Lease: 3 * time.Second}},
 		Platform{
@@ -182,11 +183,12 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s, failing := newClockStore(), false
+				s := newClockStore()
+				var failing atomic.Bool
 				s.put("op", "version/m", []byte("1"), true)
 				h, stop := startHost(t, s, &failing)
 				time.Sleep(8 * time.Second)
-				failing = true
+				failing.Store(true)
 				named := s.now()
 				if test.suspended {
 					s.put("op", "version/m", []byte("2"), false)
@@ -198,7 +200,7 @@
 					time.Sleep(test.away)
 					h, stop = startHost(t, s, &failing)
 				}
-				failing = false
+				failing.Store(false)
 				time.Sleep(4 * time.Second)
 				age := s.now().Sub(named)
 				assert.GreaterOrEqual(t, ageOf(t, h, 2), age)
@@ -216,7 +218,7 @@
 }
 
 // rowsOf returns the own rows of a store.
-func rowsOf(s *clockStore, failing *bool) clockRows {
+func rowsOf(s *clockStore, failing *atomic.Bool) clockRows {
 	return clockRows{clockStore: s, failing: failing}
 }
 
@@ -241,7 +243,9 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s, failing := newClockStore(), true
+				s := newClockStore()
+				var failing atomic.Bool
+				failing.Store(true)
 				s.put("op", "version/m", []byte("1"), true)
 				h, stop := startHost(t, s, &failing)
 				defer stop()
