Read the store's clock across no pause

Callers could get answers from weights that had been replaced longer ago than the operators allow: a host that was suspended between computing the ages of announcements and reading the store's clock stored times that were too late by the suspension, and one suspended while it read them took them to be younger. The first read had been made safe in the other direction only, in which no weights may answer at all. Change: a writer discards a reading that took over 400 ms; a reader converts times to its boot-time clock as of the start of the read, and reads that clock once more as it applies them. Result: TestPauseMakesNoNamingOlder is replaced by TestPauseChangesNoStoredTime, which holds the stored times to 400 ms in both directions (before: not older; younger by as much as the pause).

--- a/internal/gate/host/announce.go
+++ b/internal/gate/host/announce.go
@@ -6,7 +6,8 @@
 	"maps"
 	"time"
 
-	"github.com/cicadamill/cicadamill/internal/gate/feed"
+	"github.com/juju/errors"
+
 	"github.com/cicadamill/cicadamill/internal/gate/pick"
 	"github.com/cicadamill/cicadamill/internal/infra/mark"
 )
@@ -17,6 +18,9 @@
 	announcedPrefix = "named/"
 	// maxAnnouncements bounds the announcements stored per model.
 	maxAnnouncements = 8
+	// maxClockDelay is how long after the ages of announcements the store's clock may
+	// be read. A slow store takes a quarter of a second.
+	maxClockDelay = 400 * time.Millisecond
 )
 
 // announcementRow holds the announcement times of a model's weights by the store's
@@ -30,6 +34,18 @@
 	ClockMillis int64  `json:"clockMillis"`
 }
 
+// clockReading is a reading of the store's clock.
+type clockReading struct {
+	// began is when the read began, by this host's boot-time clock.
+	began time.Time
+	// clock is the store's clock.
+	clock time.Duration
+}
+
+// hostTime converts a time by the store's clock to one by the host's boot-time clock.
+// It is too early by at most the time that the read took, also across a suspension.
+func (r clockReading) hostTime(at time.Duration) time.Time { return r.began.Add(at - r.clock) }
+
 // modelVersion is a version of a model's weights.
 type modelVersion struct {
 	model   string
@@ -46,6 +62,15 @@
 	}
 }
 
+// announceAt is like announceWeights for a version that was announced at the given time
+// of the boot-time clock.
+func (h *Host) announceAt(n modelVersion, at time.Time) time.Duration {
+	h.observeClocks()
+	age := max(h.platform.Now().Sub(at), 0)
+	h.announceWeights(n.model, pick.AnnouncedVersion{Version: n.version, Age: age})
+	return age
+}
+
 // announceLate records that a version was announced at an unknown time before now. Its
 // age is at least zero until the gateway's own rows have been read.
 func (h *Host) announceLate(n WeightsChange, rowVersion uint64) {
@@ -67,9 +92,9 @@
 }
 
 // boundAges sets an upper bound of the ages of announcements that were unknown before
-// the page of the gateway's own rows was read. If it is stored when the version was
-// announced, that time has been applied already.
-func (h *Host) boundAges(page feed.Page, marks mark.History, unknown map[modelVersion]uint64) {
+// the gateway's own rows were read. If it is stored when the version was announced,
+// that time has been applied already.
+func (h *Host) boundAges(clock clockReading, marks mark.History, unknown map[modelVersion]uint64) {
 	for n, rowVersion := range unknown {
 		after, bounded := marks.WrittenAfter(rowVersion)
 		h.mu.Lock()
@@ -79,8 +104,7 @@
 		switch {
 		case stored:
 		case bounded:
-			age := max(page.Clock-after, 0)
-			h.announceWeights(n.model, pick.AnnouncedVersion{Version: n.version, Age: age})
+			age := h.announceAt(n, clock.hostTime(after))
 			h.logger.Info("age of named weights bounded", "model", n.model, "weights", n.version, "ageMs", age.Milliseconds())
 		default:
 			h.logger.Warn("age of named weights unknown", "model", n.model, "weights", n.version)
@@ -89,16 +113,16 @@
 }
 
 // readAnnouncements applies a row with announcement times.
-func (h *Host) readAnnouncements(page feed.Page, model string, value []byte) error {
+func (h *Host) readAnnouncements(clock clockReading, model string, value []byte) error {
 	var row announcementRow
 	if err := json.Unmarshal(value, &row); err != nil {
 		return err
 	}
 	for _, a := range row.Named {
-		age := page.Clock - time.Duration(a.ClockMillis)*time.Millisecond
-		h.announceWeights(model, pick.AnnouncedVersion{Version: a.Version, Age: max(age, 0)})
+		n := modelVersion{model, a.Version}
+		h.announceAt(n, clock.hostTime(time.Duration(a.ClockMillis)*time.Millisecond))
 		h.mu.Lock()
-		h.storedAges[modelVersion{model, a.Version}] = struct{}{}
+		h.storedAges[n] = struct{}{}
 		h.mu.Unlock()
 	}
 	return nil
@@ -106,18 +130,21 @@
 
 // storeAnnouncements writes the announcement times of a model's weights. The host
 // that sends the orders does this. It reads the rows first, which may tell it that an
-// announcement is older. It computes the ages before it reads the clock: if the
-// process is paused in between, the stored ages must not become too large, or hosts
-// that read them would let no engine answer.
+// announcement is older. The stored times are wrong by as much as passes between
+// computing the ages and reading the clock, so a reading across a pause is discarded.
 func (h *Host) storeAnnouncements(ctx context.Context, model string) error {
 	if err := h.readRows(ctx); err != nil {
 		return err
 	}
+	began := h.platform.Now()
 	known := h.announcements(model)
 	page, err := h.platform.Source.List(ctx, h.platform.OwnTable)
 	if err != nil {
 		return err
 	}
+	if took := h.platform.Now().Sub(began); took > maxClockDelay {
+		return errors.Errorf("the store's clock was read %s after the ages", took)
+	}
 	var row announcementRow
 	for _, announced := range known {
 		row.Named = append(row.Named, announcement{Version: announced.Version, ClockMillis: (page.Clock - announced.Age).Milliseconds()})
--- a/internal/gate/host/host_test.go
+++ b/internal/gate/host/host_test.go
@@ -29,11 +29,19 @@
 // fakeStore is an in-memory store with its own clock.
 type fakeStore struct {
 	began time.Time
-	pause time.Duration
-	rows  map[string][]byte
+	// pauseBefore and pause are pauses of the caller before and after the store reads
+	// its clock.
+	pauseBefore, pause time.Duration
+	// onList is called at the start of each list; it may be nil.
+	onList func()
+	rows   map[string][]byte
 }
 
 func (s *fakeStore) List(context.Context, string) (feed.Page, error) {
+	if s.onList != nil {
+		s.onList()
+	}
+	time.Sleep(s.pauseBefore)
 	page := feed.Page{Version: 1, Clock: time.Since(s.began)}
 	for key, value := range s.rows {
 		page.Rows = append(page.Rows, feed.Row{Key: key, Value: value, Version: 1})
@@ -42,6 +50,18 @@
 	return page, nil
 }
 
+// pauseSecondList pauses the caller of the second list from now on.
+func (s *fakeStore) pauseSecondList(before, after time.Duration) {
+	reads := 0
+	s.onList = func() {
+		reads++
+		s.pauseBefore, s.pause = 0, 0
+		if reads == 2 {
+			s.pauseBefore, s.pause = before, after
+		}
+	}
+}
+
 func (s *fakeStore) Watch(ctx context.Context, _ string, _ uint64, _ time.Duration) (feed.Page, error) {
 	<-ctx.Done()
 	return feed.Page{}, ctx.Err()
@@ -79,28 +99,38 @@
 		}, hclog.NewNullLogger(), spool.New(nil))
 }
 
-// TestPauseMakesNoNamingOlder guards against a process suspended between reading
-// the ages of announcements and the store's clock. If the stored ages were too
-// large, hosts that read them would reject every request.
-func TestPauseMakesNoNamingOlder(t *testing.T) {
-	for name, pause := range map[string]time.Duration{"no pause": 0, "suspended for 7 s": 7 * time.Second} {
+// TestPauseChangesNoStoredTime guards against a process suspended between reading the
+// ages of announcements and the store's clock. If the stored ages were too large, hosts
+// that read them would reject every request; if they were too small, replaced weights
+// would answer after the operators' bound.
+func TestPauseChangesNoStoredTime(t *testing.T) {
+	tests := map[string]struct{ before, after time.Duration }{
+		"no pause":                           {},
+		"slow store":                         {before: 120 * time.Millisecond, after: 120 * time.Millisecond},
+		"suspended before the clock is read": {before: 7 * time.Second},
+		"suspended after the clock is read":  {after: 7 * time.Second},
+		"suspended for a second":             {before: time.Second},
+	}
+	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := &fakeStore{began: time.Now(), rows: map[string][]byte{}, pause: pause}
+				s := &fakeStore{began: time.Now(), rows: map[string][]byte{}}
 				holder := newHost(s)
 				defer func() { _ = holder.meter.Close() }()
 				time.Sleep(20 * time.Second)
 				holder.announceWeights("m", pick.AnnouncedVersion{Version: 2})
 				announcedAt := time.Now()
-				require.NoError(t, holder.storeAnnouncements(t.Context(), "m"))
-				s.pause = 0
+				s.pauseSecondList(test.before, test.after)
+				for holder.storeAnnouncements(t.Context(), "m") != nil {
+					time.Sleep(orderInterval)
+				}
 				reader := newHost(s)
 				defer func() { _ = reader.meter.Close() }()
 				require.NoError(t, reader.readRows(t.Context()))
 				got := reader.announcements("m")
 				require.Len(t, got, 1)
 				assert.LessOrEqual(t, got[0].Age, time.Since(announcedAt))
-				assert.GreaterOrEqual(t, got[0].Age, time.Since(announcedAt)-pause)
+				assert.GreaterOrEqual(t, got[0].Age, time.Since(announcedAt)-maxClockDelay)
 			})
 		})
 	}
--- a/internal/gate/host/rows.go
+++ b/internal/gate/host/rows.go
@@ -95,22 +95,24 @@
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
 	unknown := h.announcementsOfUnknownAge()
+	clock := clockReading{began: h.platform.Now()}
 	page, err := h.platform.Source.List(ctx, h.platform.OwnTable)
 	if err != nil {
 		return err
 	}
+	clock.clock = page.Clock
 	var marks mark.History
 	for _, row := range page.Rows {
-		if err := h.readRow(page, row, &marks); err != nil {
+		if err := h.readRow(clock, row, &marks); err != nil {
 			h.meter.Scope().Counter("rows_unreadable").Inc(1)
 			h.logger.Warn("failed to decode row", "key", row.Key, "version", row.Version, "error", err)
 		}
 	}
-	h.boundAges(page, marks, unknown)
+	h.boundAges(clock, marks, unknown)
 	return nil
 }
 
-func (h *Host) readRow(page feed.Page, row feed.Row, marks *mark.History) (err error) {
+func (h *Host) readRow(clock clockReading, row feed.Row, marks *mark.History) (err error) {
 	if row.Key == orders.LeaseKey {
 		*marks, err = orders.ReadMarks(row.Value)
 		return err
@@ -123,7 +125,7 @@
 		h.peers.Add(tree.Node{Name: name, DataCentre: m.DataCentre, Strength: m.Strength}, m.Address)
 	}
 	if model, ok := strings.CutPrefix(row.Key, announcedPrefix); ok {
-		return h.readAnnouncements(page, model, row.Value)
+		return h.readAnnouncements(clock, model, row.Value)
 	}
 	return nil
 }
