Send other hosts every version whose bound still matters

Callers could get answers from weights that had been replaced longer ago than the operators allow: hosts told each other the newest named version only. A host that was suspended or cut off while two versions were named, and that found no stored time, set its limit by the second one, up to their distance too late. Class: the last value of a state was exchanged where its history decides. Change: messages carry the earlier versions too, until twice the operators' bound has passed. Result: TestHostsShareEveryNaming fails without the new field and passes.

--- a/internal/gate/host/naming_test.go
+++ b/internal/gate/host/naming_test.go
@@ -17,6 +17,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cicadamill/cicadamill/internal/gate/feed"
+	"github.com/cicadamill/cicadamill/internal/gate/oplog"
+	"github.com/cicadamill/cicadamill/internal/gate/peers"
 	"github.com/cicadamill/cicadamill/internal/gate/pick"
 	"github.com/cicadamill/cicadamill/internal/infra/mark"
 	"github.com/cicadamill/cicadamill/internal/infra/table"
@@ -264,3 +266,21 @@
 		})
 	}
 }
+
+// TestHostsShareEveryNaming guards against replaced weights that answered after the
+// operators' bound: a host that was away while two versions were named heard of the
+// second one only, and let the oldest weights answer until that one's bound.
+func TestHostsShareEveryNaming(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		from, to := newHost(&fakeStore{}), newHost(&fakeStore{})
+		defer func() { _, _ = from.meter.Close(), to.meter.Close() }()
+		from.announceWeights("m", pick.AnnouncedVersion{Version: 2})
+		time.Sleep(5 * time.Second)
+		from.announceWeights("m", pick.AnnouncedVersion{Version: 3})
+		time.Sleep(2 * time.Second)
+		to.receive(oplog.Origin{Node: "b"}, from.compose(oplog.Recipient{Node: "a"}, peers.Cursor{}), true)
+		assert.Equal(t, []pick.AnnouncedVersion{{Version: 2, Age: 7 * time.Second}, {Version: 3, Age: 2 * time.Second}}, to.announcements("m"))
+		time.Sleep(time.Hour)
+		assert.Empty(t, from.compose(oplog.Recipient{Node: "a"}, peers.Cursor{}).Superseded, "a version whose bound has passed everywhere isn't sent")
+	})
+}
--- a/internal/gate/host/state.go
+++ b/internal/gate/host/state.go
@@ -324,6 +324,11 @@
 // answering: the time that a request may wait at an engine before it starts.
 const newWeightsMargin = 1200 * time.Millisecond
 
+// supersededBounds is for how many times the operators' bound versions are sent to
+// other hosts after a newer one was announced: a host that was away for that long
+// doesn't need them, as the newer one's bound has passed, too.
+const supersededBounds = 2
+
 // maxReplacedAge returns how long after their replacement weights may still answer;
 // zero means without limit. That is the case while the store is unavailable, since
 // the host can't determine then whether newer weights could be loaded.
@@ -354,6 +359,7 @@
 	h.mu.Lock()
 	m.Report, m.Next.Parts = h.picker.Report(now, to, after.Parts)
 	m.Wanted = h.picker.Newest(now)
+	m.Superseded = h.picker.Superseded(now, supersededBounds*h.bounds.Load().NewWeights)
 	updates, next := h.positionUpdates.Since(after.Positions, to)
 	m.Next.Positions = next
 	m.Crashes, m.Next.Crashes = h.crashesFor(now, to, after.Crashes)
@@ -448,6 +454,11 @@
 	for model, announced := range m.Wanted {
 		h.announceWeights(model, announced)
 	}
+	for model, all := range m.Superseded {
+		for _, announced := range all[:min(len(all), maxAnnouncements)] {
+			h.announceWeights(model, announced)
+		}
+	}
 }
 
 // dropPeer removes the load of a host that another host now reports.
--- a/internal/gate/peers/message.go
+++ b/internal/gate/peers/message.go
@@ -32,6 +32,9 @@
 	Report pick.Report `json:"report"`
 	// Wanted is the newest weight version of each model known to the sender.
 	Wanted map[string]pick.AnnouncedVersion `json:"wanted,omitempty"`
+	// Superseded are earlier versions that were announced so recently that the
+	// versions before them may still answer.
+	Superseded map[string][]pick.AnnouncedVersion `json:"superseded,omitempty"`
 	// Drained lists the targets that the holder of the order lease is draining.
 	Drained *Drained `json:"emptied,omitempty"`
 	// Positions is how far the event streams of caches have been read.
--- a/internal/gate/pick/pick.go
+++ b/internal/gate/pick/pick.go
@@ -238,6 +238,23 @@
 	return all
 }
 
+// Superseded returns the announced versions of each model other than the newest that
+// are younger than maxAge.
+func (s *Picker) Superseded(now time.Time, maxAge time.Duration) map[string][]AnnouncedVersion {
+	var all map[string][]AnnouncedVersion
+	for model, m := range s.models {
+		for _, a := range m.announced[:max(0, len(m.announced)-1)] {
+			if age := now.Sub(a.since); age < maxAge {
+				if all == nil {
+					all = map[string][]AnnouncedVersion{}
+				}
+				all[model] = append(all[model], AnnouncedVersion{Version: a.version, Age: age})
+			}
+		}
+	}
+	return all
+}
+
 // SetDraining sets the targets that get no new work because they are about to load
 // weights.
 func (s *Picker) SetDraining(ids map[string]bool) {
