End the wait of requests at engines whose weights may no longer answer

Callers got answers from weights that had been replaced longer ago than the operators allow: requests are sent until 1.2 s before the bound, and some waited longer than that at a slow or overloaded engine before they began. Change: a dispatch to replaced weights has a time by which it must have begun, 0.2 s before the bound; an attempt without response headers is cancelled then, and retried elsewhere if it may be. Engines that are not expected to begin by then count as overloaded.

--- a/internal/gate/host/state.go
+++ b/internal/gate/host/state.go
@@ -321,8 +321,9 @@
 }
 
 // newWeightsMargin is how long before the operators' bound replaced weights stop
-// answering: the time that a request may wait at an engine before it starts.
-const newWeightsMargin = 1200 * time.Millisecond
+// answering: the time that a request may wait at an engine before it begins, and the
+// time until a cancellation has reached the engine.
+const newWeightsMargin = pick.MaxBeginWait + 200*time.Millisecond
 
 // supersededBounds is for how many times the operators' bound versions are sent to
 // other hosts after a newer one was announced: a host that was away for that long
--- a/internal/gate/pick/choose.go
+++ b/internal/gate/pick/choose.go
@@ -266,6 +266,10 @@
 		o := s.evaluate(now, t, r, version, s.partsFor(partsByVersion, r, version), holders[version])
 		if since, replaced := versions.replacedAt(version); replaced {
 			o.dispatch.ReplacedFor = now.Sub(since)
+			if s.maxReplacedAge > 0 {
+				o.dispatch.BeginBy = since.Add(s.maxReplacedAge + MaxBeginWait)
+				o.overloaded = o.overloaded || now.Add(o.dispatch.Expected).After(o.dispatch.BeginBy)
+			}
 		}
 		if o.dispatch.ReplacedFor > staleWeightsGrace {
 			o.cost += staleWeightsCost
--- a/internal/gate/pick/message.go
+++ b/internal/gate/pick/message.go
@@ -61,6 +61,9 @@
 	// ReplacedFor is the time since a newer version than Version was announced; zero
 	// if none was.
 	ReplacedFor time.Duration
+	// BeginBy is when the request must have begun to run, since Version may not answer
+	// later; zero if there is no limit.
+	BeginBy time.Time
 }
 
 // Wait means that no target can take the request now, but that one may soon.
--- a/internal/gate/pick/pick.go
+++ b/internal/gate/pick/pick.go
@@ -47,15 +47,18 @@
 // Picker is one node's view of all targets: load, cache contents, versions and
 // latencies. It is not safe for concurrent use.
 type Picker struct {
-	options    Options
-	random     *rand.Rand
-	targets    map[string]*target
-	services   map[string][]*target
-	plan       *plan.Plan
-	models     map[string]modelVersions
-	stores     []*store
-	observed   map[string]versionReport
-	placements *oplog.Log[Placement]
+	options  Options
+	random   *rand.Rand
+	targets  map[string]*target
+	services map[string][]*target
+	plan     *plan.Plan
+	models   map[string]modelVersions
+	// maxReplacedAge is how long after their replacement weights may answer; zero
+	// means without limit.
+	maxReplacedAge time.Duration
+	stores         []*store
+	observed       map[string]versionReport
+	placements     *oplog.Log[Placement]
 	// reportedAt is when the use of a part at a target was last reported.
 	reportedAt *simplelru.LRU[uint64, time.Time]
 	// shared are the parts that requests or reports marked as shared. Cache events
@@ -214,9 +217,14 @@
 	return all
 }
 
+// MaxBeginWait is how long after the limit of [Picker.SetMaxReplacedAge] a request that
+// was sent before may begin to run.
+const MaxBeginWait = time.Second
+
 // SetMaxReplacedAge stops weights from answering that were replaced at least the
 // given time ago; zero lets all answer.
 func (s *Picker) SetMaxReplacedAge(now time.Time, after time.Duration) {
+	s.maxReplacedAge = after
 	for model, m := range s.models {
 		m.minVersion = 0
 		for _, a := range m.announced {
--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -161,6 +162,9 @@
 	// first is the time to the first event; zero until it arrives.
 	first time.Duration
 	end   pick.Outcome
+	// tooLate is true if the attempt was cancelled because it had not begun by
+	// [pick.Dispatch.BeginBy].
+	tooLate atomic.Bool
 }
 
 // send makes one attempt: it sends a request to a target, forwards the response
@@ -204,7 +208,7 @@
 // forwards the response or classifies the failure.
 func (h *Handler) exchange(ctx, client context.Context, w http.ResponseWriter, s *attempt, timeLeft time.Duration) result {
 	request := h.encode(ctx, s, timeLeft)
-	stop := h.cancelIfSilent(s)
+	stop := h.cancelUnbegun(s)
 	response, err := h.options.Pool.Send(request, s.chosen.Target, h.connShare(s.job), s.guard)
 	stop()
 	if err != nil {
@@ -237,11 +241,19 @@
 	}
 }
 
+// notBegun is the reason of attempts cancelled because of [pick.Dispatch.BeginBy].
+const notBegun = "not begun while its weights may answer"
+
 // classifyError classifies an error that occurred before the response headers.
 func (h *Handler) classifyError(client context.Context, s *attempt, err error) result {
 	switch {
 	case client.Err() != nil:
 		return clientGone{}
+	case s.tooLate.Load():
+		if !s.guard.Sent() {
+			return notRun{reason: notBegun}
+		}
+		return broken{reason: notBegun}
 	case !s.guard.Sent():
 		s.end = pick.Unreachable
 		return notRun{reason: "not reached: " + reasonOf(err)}
@@ -286,16 +298,26 @@
 	return j.service.MaxConns / max(h.options.Fleet.Nodes(), 1)
 }
 
-// cancelIfSilent cancels an attempt that may be retried when its response headers
-// take much longer than expected. The returned function stops the timer.
-func (h *Handler) cancelIfSilent(s *attempt) func() {
-	j := s.job
-	if !j.route.Idempotent() || j.ran+1 >= max(j.route.Attempts, 1) {
-		return func() {}
+// cancelUnbegun cancels an attempt whose response headers take too long: if it may be
+// retried, when they take much longer than expected; in any case when the target's
+// weights may no longer answer. The returned function stops the timers.
+func (h *Handler) cancelUnbegun(s *attempt) func() {
+	j, stop := s.job, func() {}
+	if j.route.Idempotent() && j.ran+1 < max(j.route.Attempts, 1) {
+		silent := time.AfterFunc(max(2*j.route.Objective, 3*s.chosen.Expected), s.cancel)
+		stop = func() { silent.Stop() }
+	}
+	if s.chosen.BeginBy.IsZero() {
+		return stop
+	}
+	late := time.AfterFunc(time.Until(s.chosen.BeginBy), func() {
+		s.tooLate.Store(true)
+		s.cancel()
+	})
+	return func() {
+		late.Stop()
+		stop()
 	}
-	limit := max(2*j.route.Objective, 3*s.chosen.Expected)
-	timer := time.AfterFunc(limit, s.cancel)
-	return func() { timer.Stop() }
 }
 
 // isConnError reports whether an error means a broken connection, as opposed to a
--- a/internal/gate/proxy/proxy_test.go
+++ b/internal/gate/proxy/proxy_test.go
@@ -41,6 +41,7 @@
 	c := call.Call{
 		ID: r.Header.Get("Id"), Method: r.Method, Host: r.Host, Path: r.RequestURI, Key: r.Header.Get("Key"),
 		ResumeAfter: r.Header.Get("Resume"), Header: proxy.EndToEnd(r.Header), ClientTimeout: longTimeout,
+		Prompt: call.Prompt{Model: r.Header.Get("Model")},
 	}
 	c.Header.Del("Key")
 	return c, nil
@@ -252,13 +253,17 @@
 	return w.sendBody(t, path, "body")
 }
 
-func (w *fixture) sendBody(t *testing.T, path, text string) reply {
+// sendBody sends a request with a body and further headers, as names and values.
+func (w *fixture) sendBody(t *testing.T, path, text string, header ...string) reply {
 	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, w.server.URL+path, strings.NewReader(text))
 	require.NoError(t, err)
 	request.Host = "a.example"
 	request.Header.Set("Id", "r1")
 	request.Header.Set("Key", "k")
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
 	response, err := http.DefaultTransport.RoundTrip(request)
 	if err != nil {
 		return reply{err: err}
