Know of the store's return before its changes are applied

Callers could be refused, or sent away from sound targets: entries of targets that expire while the store is away are written again within two seconds of its return, and the list of targets keeps them for so long. But the feed applied the removals that came with the first answer before it told that the store was back, so they counted as removals in calm times. Change: the feed notices the store's return before it applies what the answer holds. Result: TestReturnIsKnownBeforeItsChanges failed before and passes. Two cases of TestFeed listed the calls in the old order; they list the new one, as strictly.

--- a/internal/gate/feed/feed.go
+++ b/internal/gate/feed/feed.go
@@ -208,7 +208,6 @@
 			pause = backoff/2 + rand.N(backoff)
 			backoff = min(2*backoff, maxBackoff)
 		} else {
-			f.storeAnswered()
 			backoff = minBackoff
 			if changed {
 				pause = batchDelay
@@ -282,6 +281,7 @@
 		if err != nil {
 			return false, err
 		}
+		f.storeAnswered()
 		f.reset(page)
 		f.confirm()
 		return true, nil
@@ -294,6 +294,7 @@
 	if errors.As(err, &lost) {
 		f.options.Logger.Warn("store dropped the change history; listing the whole table", "table", f.options.Table, "after", after)
 		f.options.Scope.Counter("feed_history_lost").Inc(1)
+		f.storeAnswered()
 		f.mu.Lock()
 		f.listed = false
 		f.mu.Unlock()
@@ -302,6 +303,8 @@
 	if err != nil {
 		return false, err
 	}
+	page.Late = f.missedChanges()
+	f.storeAnswered()
 	f.change(page)
 	f.confirm()
 	return len(page.Rows) > 0, nil
@@ -340,7 +343,6 @@
 
 func (f *Feed) change(page Page) {
 	f.mu.Lock()
-	page.Late = f.version == 0 || !f.failedSince.IsZero()
 	f.version = max(f.version, page.Version)
 	for _, row := range page.Rows {
 		if row.Version >= f.rows[row.Key].Version {
@@ -371,6 +373,9 @@
 	}
 }
 
+// missedChanges reports whether this node did not watch the table until now.
+func (f *Feed) missedChanges() bool { return f.Version() == 0 || !f.failedSince.IsZero() }
+
 // askPeers applies the changes that another node returns and reports whether one
 // answered. It doesn't count as a confirmation by the store.
 func (f *Feed) askPeers(ctx context.Context) bool {
@@ -387,6 +392,7 @@
 	if len(page.Rows) > 0 {
 		f.options.Logger.Info("rows taken from a peer", "table", f.options.Table, "rows", len(page.Rows), "version", page.Version)
 	}
+	page.Late = f.missedChanges()
 	if page.Whole {
 		f.reset(page)
 	} else {
--- a/internal/gate/feed/feed_test.go
+++ b/internal/gate/feed/feed_test.go
@@ -106,11 +106,11 @@
 		},
 		"store unavailable for a while": {
 			source: source{lists: []answer{{page: page(3, row("a", 1))}}, watches: []answer{{err: errUnavailable}, {err: errUnavailable}, {page: page(4, row("b", 4))}, {page: page(4)}}},
-			want:   []string{"reset a", "change b", "regained"}, after: 4,
+			want:   []string{"reset a", "regained", "change b"}, after: 4,
 		},
 		"silent connection": {
 			source: source{lists: []answer{{page: page(3)}}, watches: []answer{{hang: true}, {page: page(4, row("b", 4))}, {page: page(4)}}},
-			want:   []string{"reset ", "change b", "regained"}, after: 4,
+			want:   []string{"reset ", "regained", "change b"}, after: 4,
 		},
 		"rows from peers at startup": {
 			source: source{lists: []answer{{err: errUnavailable}}, watches: []answer{{}}},
--- a/internal/gate/feed/outage_test.go
+++ b/internal/gate/feed/outage_test.go
@@ -95,3 +95,31 @@
 	cancel()
 	<-ended
 }
+
+// TestReturnIsKnownBeforeItsChanges guards against targets that were dropped although
+// they lived: their entries had expired during an outage of the store, and the removals
+// were applied before its owner knew that there had been an outage.
+func TestReturnIsKnownBeforeItsChanges(t *testing.T) {
+	gone := feed.Row{Key: "b", Version: 4, Removed: true}
+	tests := map[string]struct {
+		source source
+		want   []string
+	}{
+		"watched": {
+			source: source{lists: []answer{{page: page(3, row("a", 1))}}, watches: []answer{{err: errUnavailable}, {page: page(4, gone)}, {page: page(4)}}},
+			want:   []string{"reset a", "regained", "change b"},
+		},
+		"listed again": {
+			source: source{lists: []answer{{page: page(3, row("a", 1))}, {page: page(9, row("c", 8))}}, watches: []answer{{err: errUnavailable}, {err: &feed.LostHistoryError{Table: "t"}}, {page: page(9)}}},
+			want:   []string{"reset a", "regained", "reset c"},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				calls, _ := run(t, &test.source, nil, 10*time.Second)
+				assert.Equal(t, test.want, calls)
+			})
+		})
+	}
+}
