Log what a request held whose connection to a target broke

Cause: the line of an attempt told neither the parts of the prompt nor whether the target had begun to answer. Change: a line for each broken connection with both. Result: no decision changes; tests of proxy and docs pass.

--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -161,7 +161,9 @@
 	cancel context.CancelFunc
 	// first is the time to the first event; zero until it arrives.
 	first time.Duration
-	end   pick.Outcome
+	// headers is true once the response headers have arrived.
+	headers bool
+	end     pick.Outcome
 	// tooLate is true if the attempt was cancelled because it had not begun by
 	// [pick.Dispatch.BeginBy].
 	tooLate atomic.Bool
@@ -215,6 +217,7 @@
 		return h.classifyError(client, s, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	s.headers = true
 	head := h.options.Codec.DecodeHeader(response.StatusCode, response.Header)
 	if head.WeightVersion > 0 && head.ID == s.job.call.ID {
 		h.options.OnVersion(s.chosen.Target.ID, s.job.call.Prompt.Model, head.WeightVersion)
--- a/internal/gate/proxy/log.go
+++ b/internal/gate/proxy/log.go
@@ -20,6 +20,9 @@
 		outcome = "clientGone"
 	}
 	d := s.chosen
+	if b, ok := r.(broken); ok && b.connLost {
+		h.logBroken(s)
+	}
 	h.options.Logger.Info("sent", "request", s.job.call.ID, "route", s.job.route.Name, "workspace", s.job.workspace.Name,
 		"target", d.Target.ID, "weights", d.Version, "replacedMs", d.ReplacedFor.Milliseconds(), "shared", d.Shared, "cached", d.Cached, "fetched", d.Fetched, "from", d.FetchFrom,
 		"running", d.Load.Running, "prefill", d.Load.Prefill, "ageMs", d.Age.Milliseconds(), "slowness", d.Slowness, "expectedMs", d.Expected.Milliseconds(),
@@ -27,6 +30,16 @@
 		"firstMs", s.first.Milliseconds(), "tookMs", time.Since(s.began).Milliseconds(), "outcome", outcome, "reason", reason)
 }
 
+// logBroken logs what may have crashed the target of an attempt whose connection broke.
+func (h *Handler) logBroken(s *attempt) {
+	var parts []string
+	for _, p := range s.job.call.Prompt.Shared() {
+		parts = append(parts, p.ID)
+	}
+	h.options.Logger.Info("connection broke", "request", s.job.call.ID, "target", s.chosen.Target.ID, "parts", parts,
+		"headers", s.headers, "events", s.first > 0, "tookMs", time.Since(s.began).Milliseconds())
+}
+
 // logRefusal logs a request that this node ended with an error of its own.
 func (h *Handler) logRefusal(j *job, f *fault.Error) {
 	config := uint64(0)
