--- a/internal/gate/event/event_test.go
+++ b/internal/gate/event/event_test.go
@@ -16,6 +16,8 @@
 
 var errReset = errors.New("connection reset")
 
+// TestNext guards against an event that passes for whole though the stream has ended
+// or broken within it.
 func TestNext(t *testing.T) {
 	long := strings.Repeat("x", 100_000)
 	line4096 := "data: " + strings.Repeat("x", 4090)
@@ -26,20 +28,32 @@
 		ids  []string
 		end  error
 	}{
-		"whole events":         {text: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", raw: []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}, ids: []string{"1", "2"}, end: io.EOF},
-		"carriage returns":     {text: "id:7\r\ndata: a\r\n\r\n", raw: []string{"id:7\r\ndata: a\r\n\r\n"}, ids: []string{"7"}, end: io.EOF},
-		"event without number": {text: "data: a\n\n", raw: []string{"data: a\n\n"}, ids: []string{""}, end: io.EOF},
-		"ends within a line":   {text: "id: 1\n\nid: 2\nda", raw: []string{"id: 1\n\n"}, ids: []string{"1"}, end: io.ErrUnexpectedEOF},
-		"ends within an event": {text: "id: 2\ndata: b\n", end: io.ErrUnexpectedEOF},
-		"reset after an event": {text: "id: 1\n\n", then: errReset, raw: []string{"id: 1\n\n"}, ids: []string{"1"}, end: errReset},
-		"empty":                {end: io.EOF},
-		"blank lines between":  {text: "\n\nid: 1\n\n\nid: 2\n\n", raw: []string{"\n\nid: 1\n\n", "\nid: 2\n\n"}, ids: []string{"1", "2"}, end: io.EOF},
-		"blank lines at end":   {text: "id: 1\n\n\n\r\n", raw: []string{"id: 1\n\n", "\n\r\n"}, ids: []string{"1", ""}, end: io.EOF},
-		"blank lines, no end":  {text: strings.Repeat("\n", 1<<20+1), end: event.ErrTooLarge},
-		"line as buffer":       {text: line4096 + "\nid: 5\n\n", raw: []string{line4096 + "\nid: 5\n\n"}, ids: []string{"5"}, end: io.EOF},
-		"id in a long line":    {text: line4096 + "id: 6\nid: 5\n\n", raw: []string{line4096 + "id: 6\nid: 5\n\n"}, ids: []string{"5"}, end: io.EOF},
-		"long line":            {text: "data: " + long + "\n\n", raw: []string{"data: " + long + "\n\n"}, ids: []string{""}, end: io.EOF},
-		"too large":            {text: strings.Repeat("data: "+long+"\n", 11), end: event.ErrTooLarge},
+		"whole events":               {text: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", raw: []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}, ids: []string{"1", "2"}, end: io.EOF},
+		"carriage returns":           {text: "id:7\r\ndata: a\r\n\r\n", raw: []string{"id:7\r\ndata: a\r\n\r\n"}, ids: []string{"7"}, end: io.EOF},
+		"event without number":       {text: "data: a\n\n", raw: []string{"data: a\n\n"}, ids: []string{""}, end: io.EOF},
+		"ends within a line":         {text: "id: 1\n\nid: 2\nda", raw: []string{"id: 1\n\n"}, ids: []string{"1"}, end: io.ErrUnexpectedEOF},
+		"ends within an event":       {text: "id: 2\ndata: b\n", end: io.ErrUnexpectedEOF},
+		"CRLF, ends within a line":   {text: "id: 1\r\n\r\nid: 2\r\nda", raw: []string{"id: 1\r\n\r\n"}, ids: []string{"1"}, end: io.ErrUnexpectedEOF},
+		"CRLF, no blank line":        {text: "id: 1\r\n\r\nid: 2\r\ndata: b\r\n", raw: []string{"id: 1\r\n\r\n"}, ids: []string{"1"}, end: io.ErrUnexpectedEOF},
+		"CRLF, half a line end":      {text: "id: 1\r\n\r\nid: 2\r", raw: []string{"id: 1\r\n\r\n"}, ids: []string{"1"}, end: io.ErrUnexpectedEOF},
+		"CRLF, half a blank line":    {text: "id: 2\r\ndata: b\r\n\r", end: io.ErrUnexpectedEOF},
+		"CRLF after LF":              {text: "id: 1\n\r\nid: 2\r\n\n", raw: []string{"id: 1\n\r\n", "id: 2\r\n\n"}, ids: []string{"1", "2"}, end: io.EOF},
+		"no line end":                {text: "id: 1\n\nid: 2\ndata: b", raw: []string{"id: 1\n\n"}, ids: []string{"1"}, end: io.ErrUnexpectedEOF},
+		"ends within a comment":      {text: "id: 1\n\n: al", raw: []string{"id: 1\n\n"}, ids: []string{"1"}, end: io.ErrUnexpectedEOF},
+		"blank lines, half an event": {text: "id: 1\n\n\n\nid: 2\n", raw: []string{"id: 1\n\n"}, ids: []string{"1"}, end: io.ErrUnexpectedEOF},
+		"reset within an event":      {text: "id: 1\n\nid: 2\nda", then: errReset, raw: []string{"id: 1\n\n"}, ids: []string{"1"}, end: errReset},
+		"reset, no blank line":       {text: "id: 1\n\nid: 2\ndata: b\n", then: errReset, raw: []string{"id: 1\n\n"}, ids: []string{"1"}, end: errReset},
+		"reset at once":              {then: errReset, end: errReset},
+		"reset after blank lines":    {text: "id: 1\n\n\n", then: errReset, raw: []string{"id: 1\n\n"}, ids: []string{"1"}, end: errReset},
+		"reset after an event":       {text: "id: 1\n\n", then: errReset, raw: []string{"id: 1\n\n"}, ids: []string{"1"}, end: errReset},
+		"empty":                      {end: io.EOF},
+		"blank lines between":        {text: "\n\nid: 1\n\n\nid: 2\n\n", raw: []string{"\n\nid: 1\n\n", "\nid: 2\n\n"}, ids: []string{"1", "2"}, end: io.EOF},
+		"blank lines at end":         {text: "id: 1\n\n\n\r\n", raw: []string{"id: 1\n\n", "\n\r\n"}, ids: []string{"1", ""}, end: io.EOF},
+		"blank lines, no end":        {text: strings.Repeat("\n", 1<<20+1), end: event.ErrTooLarge},
+		"line as buffer":             {text: line4096 + "\nid: 5\n\n", raw: []string{line4096 + "\nid: 5\n\n"}, ids: []string{"5"}, end: io.EOF},
+		"id in a long line":          {text: line4096 + "id: 6\nid: 5\n\n", raw: []string{line4096 + "id: 6\nid: 5\n\n"}, ids: []string{"5"}, end: io.EOF},
+		"long line":                  {text: "data: " + long + "\n\n", raw: []string{"data: " + long + "\n\n"}, ids: []string{""}, end: io.EOF},
+		"too large":                  {text: strings.Repeat("data: "+long+"\n", 11), end: event.ErrTooLarge},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
