Send an event on before the rest of the next one is there

Callers got an event late, up to the end of the stream, when its target had sent a part of the next event with it and then paused. Cause: the loop that forwards a stream leaves out the flush while more bytes have been received, and counted a part of an event as more. It then waited for the rest of that part with the whole event in its write buffer. Change: Buffered reports only a whole further event, found by its blank line, so that what is left out is always made up for by the next event, which needs no wait.

--- a/internal/gate/event/event.go
+++ b/internal/gate/event/event.go
@@ -85,5 +85,11 @@
 	}
 }
 
-// Buffered reports whether bytes of a further event have already been received.
-func (r *Reader) Buffered() bool { return r.in.Buffered() > 0 }
+// Buffered reports whether the whole of a further event has already been received. It
+// looks no further than the read buffer, and may miss one.
+func (r *Reader) Buffered() bool {
+	// Peek fails for none of the bytes that are in the buffer.
+	received, _ := r.in.Peek(r.in.Buffered())
+	received = bytes.TrimLeft(received, "\r\n")
+	return bytes.Contains(received, []byte("\n\n")) || bytes.Contains(received, []byte("\n\r\n"))
+}
--- a/internal/gate/event/event_test.go
+++ b/internal/gate/event/event_test.go
@@ -74,6 +74,37 @@
 	}
 }
 
+// TestBuffered guards against an event that waits for the rest of the next one, and
+// against a flush between events that came together.
+func TestBuffered(t *testing.T) {
+	tests := map[string]struct {
+		next string
+		want bool
+	}{
+		"nothing":                   {},
+		"half a line":               {next: "id: 2\nda"},
+		"no blank line":             {next: "id: 2\ndata: b\n"},
+		"half a blank line":         {next: "id: 2\r\ndata: b\r\n\r"},
+		"blank lines":               {next: "\n\n\n"},
+		"blank lines, half a line":  {next: "\n\r\n\nid: 2"},
+		"whole":                     {next: "id: 2\ndata: b\n\n", want: true},
+		"whole, CRLF":               {next: "id: 2\r\ndata: b\r\n\r\n", want: true},
+		"whole, CRLF after LF":      {next: "id: 2\ndata: b\n\r\n", want: true},
+		"whole, blank lines before": {next: "\n\nid: 2\n\n", want: true},
+		"whole, and a part":         {next: "id: 2\n\nid: 3\nda", want: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			events := event.New(strings.NewReader("id: 1\ndata: a\n\n" + test.next))
+			next, err := events.Next()
+			require.NoError(t, err)
+			assert.Equal(t, "1", next.ID)
+			assert.Equal(t, test.want, events.Buffered())
+			assert.Equal(t, "id: 1\ndata: a\n\n", string(next.Raw), "the event stays valid")
+		})
+	}
+}
+
 // vietnamese has letters with tone marks, both composed and decomposed.
 const vietnamese = "Khắc tên: Nguyễn Thị Thìa, “trăm năm hạnh phúc” – Kha\u0306\u0301c te\u0302n, Hội An"
 
