--- a/internal/tool/soak/check_test.go
+++ b/internal/tool/soak/check_test.go
@@ -18,6 +18,7 @@
 	records  []record
 	runs     map[string][]fake.Run
 	orders   []fake.Order
+	crashes  []fake.Run
 	changes  []configChange
 	leftAt   map[string]time.Time
 	faults   map[string][]span
@@ -55,6 +56,13 @@
 	c.orders = append(c.orders, o)
 }
 
+// RecordCrash implements [fake.Recorder].
+func (c *checker) RecordCrash(r fake.Run) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.crashes = append(c.crashes, r)
+}
+
 func (c *checker) addRecord(r record) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
