Add unframed answers and streams that end within an event to the soak

Cause: the soak broke answers off only under a length or chunks, so that nothing proved under faults that the end of a connection is told from a reset. Change: four steps of targets, drawn in TestSoakFraming (seeds 601 and 602); plans of older seeds stay as they are. The loopback proxy passes a reset on as a reset; it made a proper end of it before, which an unframed answer can't be told from.

--- a/internal/tool/soak/fleet_test.go
+++ b/internal/tool/soak/fleet_test.go
@@ -97,9 +97,9 @@
 	f.targets = append(f.targets, t)
 	f.mu.Unlock()
 	var err error
-	t.proxy, err = newProxy(t.Address)
+	t.proxy, err = newProxy(anyPort, t.Address)
 	require.NoError(f.t, err)
-	t.ListedAddress = t.proxy.address()
+	t.ListedAddress = t.proxy.address
 	require.NoError(f.t, t.Start())
 }
 
@@ -156,10 +156,10 @@
 		f.inject(s.duration, []*process{p}, func() { p.store.setMode(silence) }, func() { p.store.setMode(forward) })
 	case dropStoreReplies:
 		f.inject(s.duration, []*process{p}, func() { p.store.setMode(dropReplies) }, func() { p.store.setMode(forward) })
-	case crashTarget, drainTarget, unlistTarget, muteTarget, mixUpTarget, truncateTarget, silenceTarget, resetTarget, delayTarget:
-		f.targetStep(s, f.target(s.index))
 	case addRoute, dropRoute, revokeKey, changeWeights:
 		f.configStep(s)
+	default:
+		f.targetStep(s, f.target(s.index))
 	}
 }
 
@@ -221,10 +221,15 @@
 	}
 }
 
+// targetFaults are the faults of the steps that change a target's answers.
+var targetFaults = map[stepKind]fake.Fault{
+	muteTarget: fake.NoResponse, mixUpTarget: fake.WrongResponse, truncateTarget: fake.TruncatedResponse, unframeTarget: fake.UnframedResponse,
+	resetUnframedTarget: fake.UnframedReset, cutEventTarget: fake.EndInEvent, cutUnframedTarget: fake.UnframedEndInEvent,
+}
+
 func (f *fleet) targetStep(s step, t *target) {
 	t.stepMu.Lock()
 	defer t.stepMu.Unlock()
-	faults := map[stepKind]fake.Fault{muteTarget: fake.NoResponse, mixUpTarget: fake.WrongResponse, truncateTarget: fake.TruncatedResponse}
 	modes := map[stepKind]mode{silenceTarget: silence, resetTarget: reset, delayTarget: delay}
 	switch s.kind {
 	case crashTarget:
@@ -233,14 +238,14 @@
 		f.checker.addError(t.Start())
 	case drainTarget, unlistTarget:
 		f.replaceTarget(s.kind, t)
-	case muteTarget, mixUpTarget, truncateTarget:
-		t.SetFault(faults[s.kind])
-		time.Sleep(s.duration)
-		t.SetFault(fake.None)
-	default:
+	case silenceTarget, resetTarget, delayTarget:
 		t.proxy.setMode(modes[s.kind])
 		time.Sleep(s.duration)
 		t.proxy.setMode(forward)
+	default:
+		t.SetFault(targetFaults[s.kind])
+		time.Sleep(s.duration)
+		t.SetFault(fake.None)
 	}
 }
 
@@ -266,7 +271,7 @@
 	} else {
 		f.checker.addError(t.Drain())
 	}
-	f.checker.targetLeft(t.ID)
+	f.checker.targetLeft(t.CurrentID())
 	time.Sleep(serveAfterLeaving)
 	t.Stop()
 	t.Unlist()
--- a/internal/tool/soak/plan_test.go
+++ b/internal/tool/soak/plan_test.go
@@ -35,6 +35,11 @@
 	dropRoute        stepKind = "drop a route"
 	revokeKey        stepKind = "revoke a key"
 	changeWeights    stepKind = "name weights"
+
+	unframeTarget       stepKind = "a target sends answers without a length"
+	resetUnframedTarget stepKind = "a target resets answers without a length"
+	cutEventTarget      stepKind = "a target ends streams within an event"
+	cutUnframedTarget   stepKind = "a target ends streams without chunks within an event"
 )
 
 // kinds are the steps to draw from. A kind that is frequent in real fleets is
@@ -45,6 +50,12 @@
 	addRoute, dropRoute, revokeKey, changeWeights, changeWeights,
 }
 
+// framingKinds are the steps that change how answers end. The plans of older seeds do
+// not draw from them.
+var framingKinds = []stepKind{
+	unframeTarget, resetUnframedTarget, resetUnframedTarget, cutEventTarget, cutEventTarget, cutUnframedTarget, cutUnframedTarget,
+}
+
 // step is one fault or configuration change of a plan.
 type step struct {
 	kind stepKind
@@ -68,7 +79,7 @@
 
 // newPlan derives the steps from a seed, in order of time. Steps may overlap, and
 // some are repeated at the next host or target within a second.
-func newPlan(seed uint64, length time.Duration) []step {
+func newPlan(seed uint64, length time.Duration, kinds []stepKind) []step {
 	random := rand.New(rand.NewPCG(seed, 1))
 	var steps []step
 	for range int(length.Seconds() * stepsPerSecond) {
--- a/internal/tool/soak/process_test.go
+++ b/internal/tool/soak/process_test.go
@@ -41,6 +41,9 @@
 	portCount = 18_000
 )
 
+// anyPort is a loopback address with a port that the system chooses.
+const anyPort = "127.0.0.1:0"
+
 var nextPort atomic.Int64
 
 func freePort() (string, error) {
@@ -65,9 +68,9 @@
 		*address = port
 	}
 	var err error
-	p.store, err = newProxy(func() string { return store })
+	p.store, err = newProxy(anyPort, func() string { return store })
 	if err == nil {
-		p.settings.Store = p.store.address()
+		p.settings.Store = p.store.address
 	}
 	return p, err
 }
--- a/internal/tool/soak/proxy_test.go
+++ b/internal/tool/soak/proxy_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -31,12 +33,14 @@
 
 // proxy forwards TCP connections to an upstream address and injects network faults.
 type proxy struct {
-	listener net.Listener
 	upstream func() string
+	address  string
 
-	mu    sync.Mutex
-	mode  mode
-	pairs map[*connPair]struct{}
+	mu       sync.Mutex
+	listener net.Listener
+	closed   bool
+	mode     mode
+	pairs    map[*connPair]struct{}
 }
 
 // connPair is one connection through a proxy.
@@ -47,20 +51,37 @@
 	silenced map[net.Conn]bool
 }
 
-func newProxy(upstream func() string) (*proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	p := &proxy{listener: listener, upstream: upstream, pairs: map[*connPair]struct{}{}}
-	go func(context.Context) { p.serve() }(context.Background())
-	return p, nil
+func newProxy(address string, upstream func() string) (*proxy, error) {
+	p := &proxy{address: address, upstream: upstream, pairs: map[*connPair]struct{}{}}
+	return p, p.setListening(true)
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+// setListening makes the proxy accept new connections, at the same address each time,
+// or refuse them.
+func (p *proxy) setListening(on bool) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case !on && p.listener != nil:
+		_ = p.listener.Close()
+		p.listener = nil
+	case on && p.listener == nil && !p.closed:
+		listener, err := net.Listen("tcp", p.address)
+		if err != nil {
+			return err
+		}
+		p.listener, p.address = listener, listener.Addr().String()
+		go func(context.Context) { p.serve(listener) }(context.Background())
+	}
+	return nil
+}
 
 func (p *proxy) close() {
-	_ = p.listener.Close()
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	// Closing a listener does not fail.
+	_ = p.setListening(false)
 	p.setMode(reset)
 }
 
@@ -85,9 +106,9 @@
 	_ = c.Close()
 }
 
-func (p *proxy) serve() {
+func (p *proxy) serve(listener net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -122,12 +143,16 @@
 }
 
 // relay copies data in one direction until a read or write fails, and then closes
-// both ends.
+// both ends. It passes a reset on as one: an answer without a length must not look
+// complete.
 func (p *proxy) relay(pair *connPair, from, to net.Conn) {
 	defer func() { _ = to.Close(); _ = from.Close() }()
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buffer)
+		if errors.Is(err, syscall.ECONNRESET) {
+			resetConn(to)
+		}
 		if err != nil {
 			return
 		}
--- a/internal/tool/soak/soak_test.go
+++ b/internal/tool/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -24,15 +25,20 @@
 	logFolder = flag.String("keep", "", "folder for the settings and logs of the run; temporary when empty")
 )
 
-// regressions are seeds that failed once, by the cause of the failure.
-var regressions = map[string]struct {
+// scenario determines a run.
+type scenario struct {
 	seed           uint64
 	seconds, hosts int
-}{
-	"a SIGHUP ended a process that had just started":          {8, 12, 5},
-	"requests that many callers send were blamed for crashes": {9, 12, 5},
-	"the stand-in of a target that left put itself back":      {203, 10, 5},
-	"the same blame, while hosts lost the store":              {108, 12, 5},
+	// kinds are the steps to draw from.
+	kinds []stepKind
+}
+
+// regressions are seeds that failed once, by the cause of the failure.
+var regressions = map[string]scenario{
+	"a SIGHUP ended a process that had just started":          {8, 12, 5, kinds},
+	"requests that many callers send were blamed for crashes": {9, 12, 5, kinds},
+	"the stand-in of a target that left put itself back":      {203, 10, 5, kinds},
+	"the same blame, while hosts lost the store":              {108, 12, 5, kinds},
 }
 
 const (
@@ -47,14 +53,25 @@
 )
 
 func TestSoak(t *testing.T) {
-	runSoak(t, *seed, *seconds, *hostCount)
+	runSoak(t, scenario{seed: *seed, seconds: *seconds, hosts: *hostCount, kinds: kinds})
 }
 
 func TestSoakRegressions(t *testing.T) {
 	for name, r := range regressions {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			runSoak(t, r.seed, r.seconds, r.hosts)
+			runSoak(t, r)
+		})
+	}
+}
+
+// TestSoakFraming guards against answers and streams that are cut off at their end and
+// pass for complete ones while other faults happen.
+func TestSoakFraming(t *testing.T) {
+	for _, seed := range []uint64{601, 602} {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			runSoak(t, scenario{seed: seed, seconds: 8, hosts: 4, kinds: slices.Concat(kinds, framingKinds, framingKinds)})
 		})
 	}
 }
@@ -74,33 +91,33 @@
 	return path, nil
 })
 
-func runSoak(t *testing.T, seed uint64, seconds, hosts int) {
+func runSoak(t *testing.T, s scenario) {
 	binary, err := buildBinary()
 	require.NoError(t, err, binary)
 	folder := *logFolder
 	if folder == "" {
 		folder = t.TempDir()
 	}
-	f := newFleet(t, binary, folder, hosts)
+	f := newFleet(t, binary, folder, s.hosts)
 	defer f.close()
 	require.NoError(t, f.awaitReady(startTimeout))
 	ctx, cancel := context.WithCancel(t.Context())
 	var callers sync.WaitGroup
-	for i := range callersPerHost * hosts {
-		c := newCaller(f, seed, i)
+	for i := range callersPerHost * s.hosts {
+		c := newCaller(f, s.seed, i)
 		callers.Go(func() { c.sendRequests(ctx) })
 	}
 	for i, p := range f.hosts {
-		c := newCaller(f, seed, callersPerHost*hosts+i)
+		c := newCaller(f, s.seed, callersPerHost*s.hosts+i)
 		callers.Go(func() { c.probeRoutes(ctx, p) })
 	}
-	f.play(t.Context(), newPlan(seed, time.Duration(seconds)*time.Second))
-	assert.NoError(t, f.awaitRecovery(seed))
+	f.play(t.Context(), newPlan(s.seed, time.Duration(s.seconds)*time.Second, s.kinds))
+	assert.NoError(t, f.awaitRecovery(s.seed))
 	cancel()
 	callers.Wait()
-	f.report(t, seed)
+	f.report(t, s.seed)
 	for _, violation := range f.checker.violations() {
-		t.Errorf("seed %d: %s", seed, violation)
+		t.Errorf("seed %d: %s", s.seed, violation)
 	}
 	if t.Failed() {
 		for _, p := range f.hosts {
@@ -163,7 +180,7 @@
 	defer f.mu.Unlock()
 	for _, t := range f.targets {
 		if v := t.Version(); t.Model != "" && v != f.weights {
-			return t.ID + " serves weight version " + strconv.FormatUint(v, 10) + " instead of " + strconv.FormatUint(f.weights, 10)
+			return t.CurrentID() + " serves weight version " + strconv.FormatUint(v, 10) + " instead of " + strconv.FormatUint(f.weights, 10)
 		}
 	}
 	return ""
