Add deadly parts of prompts to the soak

Cause: a part of a prompt may crash each engine that begins to answer a request with it, and no test showed what hosts make of that. The proxies of crashed engines refuse connections. From 3 s after a part's fifth crash at most three requests with it may reach targets from hosts in touch; from 6 s after, sound requests with the same key or first part must begin half as often as before.

--- a/internal/tool/soak/caller_test.go
+++ b/internal/tool/soak/caller_test.go
@@ -27,10 +27,12 @@
 // record is one request with its outcome.
 type record struct {
 	id, path, key, host string
-	incarnation         int
-	sent, ended         time.Time
-	status              int
-	incomplete          bool
+	// parts is the list of the prompt's parts; empty for plain requests.
+	parts       string
+	incarnation int
+	sent, ended time.Time
+	status      int
+	incomplete  bool
 	// violation describes a fault of the answer that the caller can see; empty for
 	// none.
 	violation string
@@ -84,7 +86,9 @@
 	}
 }
 
-func (c *caller) send(p *process, path, key string) record {
+// send sends a request. A stream's prompt begins with the shared parts, or with parts
+// that many sound requests share.
+func (c *caller) send(p *process, path, key string, shared ...string) record {
 	c.sent++
 	r := record{id: fmt.Sprintf("%s-%d", c.name, c.sent), path: path, key: key, host: p.settings.Name, incarnation: p.incarnation(), sent: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
@@ -95,7 +99,11 @@
 		clientRequest.Body = "{}"
 	}
 	if path == fake.Streams {
-		clientRequest.Model, clientRequest.Tokens, clientRequest.Parts = fake.Model, 900, fmt.Sprintf("aa:500,b%d:300,c%s:100", c.random.IntN(20), r.id)
+		if len(shared) == 0 {
+			shared = c.soundParts()
+		}
+		r.parts = strings.Join(append(shared, "c"+r.id+":100"), ",")
+		clientRequest.Model, clientRequest.Tokens, clientRequest.Parts = fake.Model, promptTokens(r.parts), r.parts
 	}
 	request, err := clientRequest.Request(ctx)
 	if err != nil {
--- a/internal/tool/soak/check_test.go
+++ b/internal/tool/soak/check_test.go
@@ -14,11 +14,15 @@
 // checker records what callers and targets observe, and finds violations of the
 // guarantees after the run.
 type checker struct {
-	mu       sync.Mutex
-	records  []record
-	runs     map[string][]fake.Run
-	orders   []fake.Order
-	crashes  []fake.Run
+	mu      sync.Mutex
+	records []record
+	runs    map[string][]fake.Run
+	orders  []fake.Order
+	crashes []fake.Run
+	// deadly are the parts of prompts that crash targets.
+	deadly []string
+	// notes are figures of the checks for the log.
+	notes    []string
 	changes  []configChange
 	leftAt   map[string]time.Time
 	faults   map[string][]span
@@ -159,7 +163,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	found := slices.Clone(c.failures)
-	for _, check := range []func() []string{c.checkAnswers, c.checkDraining, c.checkConfigApplied, c.checkConfigOrder, c.checkOrders, c.checkRetries, c.checkStops} {
+	for _, check := range []func() []string{c.checkAnswers, c.checkDraining, c.checkConfigApplied, c.checkConfigOrder, c.checkOrders, c.checkRetries, c.checkStops, c.checkParts} {
 		found = append(found, check()...)
 	}
 	return found
--- a/internal/tool/soak/fleet_test.go
+++ b/internal/tool/soak/fleet_test.go
@@ -24,6 +24,8 @@
 	// crashDowntime is how long a crashed target stays down: until its entry has
 	// expired.
 	crashDowntime = 1200 * time.Millisecond
+	// longEntryTime is how long the entry of a crashed target outlasts its downtime.
+	longEntryTime = 5 * time.Second
 	// serveAfterLeaving is how long a target still serves after it was drained or
 	// removed from the list.
 	serveAfterLeaving = 5 * time.Second
@@ -55,8 +57,9 @@
 	stepMu sync.Mutex
 }
 
-func newFleet(t *testing.T, binary, folder string, hosts int) *fleet {
+func newFleet(t *testing.T, binary, folder string, hosts int, deadly []string) *fleet {
 	f := &fleet{t: t, store: fake.NewStore(), checker: newChecker(), weights: 1}
+	f.checker.deadly = deadly
 	f.config = fake.Config{Version: 1, Keys: map[string][]string{}}
 	for i := range workspaceCount {
 		f.config.Keys[fmt.Sprint("workspace", i)] = []string{fmt.Sprint("key-", i, "-a"), fmt.Sprint("key-", i, "-b")}
@@ -94,15 +97,41 @@
 	t := &target{Target: fake.NewTarget(&fake.Target{
 		ID: fmt.Sprintf("t-%02d", f.created), Service: service, Model: model, Slots: targetSlots,
 	}, f.store, f.checker)}
+	address := anyPort
+	var err error
+	if model != "" && len(f.checker.deadly) > 0 {
+		t.Hazard = f.hazard(t, f.created)
+		// An outgoing connection must not take the port while the target is down.
+		address, err = freePort()
+	}
 	f.targets = append(f.targets, t)
 	f.mu.Unlock()
-	var err error
-	t.proxy, err = newProxy(anyPort, t.Address)
+	require.NoError(f.t, err)
+	t.proxy, err = newProxy(address, t.Address)
 	require.NoError(f.t, err)
 	t.ListedAddress = t.proxy.address
 	require.NoError(f.t, t.Start())
 }
 
+// hazard returns what crashes a target. Every second one comes back with another ID,
+// and the entries of half of them last until after that.
+func (f *fleet) hazard(t *target, number int) *fake.Hazard {
+	h := &fake.Hazard{Parts: f.checker.deadly, Listening: func(on bool) {
+		f.checker.addError(t.proxy.setListening(on))
+	}}
+	if number%2 == 0 {
+		first, restarts := t.ID, 0
+		h.NextID = func() string {
+			restarts++
+			return fmt.Sprintf("%s-%d", first, restarts)
+		}
+	}
+	if number%4 < 2 {
+		h.EntryTime = longEntryTime
+	}
+	return h
+}
+
 func (f *fleet) target(index int) *target {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/tool/soak/soak_test.go
+++ b/internal/tool/soak/soak_test.go
@@ -31,14 +31,16 @@
 	seconds, hosts int
 	// kinds are the steps to draw from.
 	kinds []stepKind
+	// deadly are the parts of prompts that crash targets.
+	deadly []string
 }
 
 // regressions are seeds that failed once, by the cause of the failure.
 var regressions = map[string]scenario{
-	"a SIGHUP ended a process that had just started":          {8, 12, 5, kinds},
-	"requests that many callers send were blamed for crashes": {9, 12, 5, kinds},
-	"the stand-in of a target that left put itself back":      {203, 10, 5, kinds},
-	"the same blame, while hosts lost the store":              {108, 12, 5, kinds},
+	"a SIGHUP ended a process that had just started":          {seed: 8, seconds: 12, hosts: 5, kinds: kinds},
+	"requests that many callers send were blamed for crashes": {seed: 9, seconds: 12, hosts: 5, kinds: kinds},
+	"the stand-in of a target that left put itself back":      {seed: 203, seconds: 10, hosts: 5, kinds: kinds},
+	"the same blame, while hosts lost the store":              {seed: 108, seconds: 12, hosts: 5, kinds: kinds},
 }
 
 const (
@@ -76,6 +78,17 @@
 	}
 }
 
+// TestSoakDeadlyParts guards against hosts that let a part of a prompt crash one target
+// after another, or refuse sound requests for what they share with the deadly ones.
+func TestSoakDeadlyParts(t *testing.T) {
+	for seed, deadly := range map[uint64][]string{728: {"dead1"}, 847: {"dead1", "dead2"}} {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			runSoak(t, scenario{seed: seed, seconds: 24, hosts: 4, kinds: kinds, deadly: deadly})
+		})
+	}
+}
+
 // buildBinary compiles the program once for all runs and returns its path, or the
 // compiler's output with the error.
 var buildBinary = sync.OnceValues(func() (string, error) {
@@ -98,7 +111,7 @@
 	if folder == "" {
 		folder = t.TempDir()
 	}
-	f := newFleet(t, binary, folder, s.hosts)
+	f := newFleet(t, binary, folder, s.hosts, s.deadly)
 	defer f.close()
 	require.NoError(t, f.awaitReady(startTimeout))
 	ctx, cancel := context.WithCancel(t.Context())
@@ -111,7 +124,16 @@
 		c := newCaller(f, s.seed, callersPerHost*s.hosts+i)
 		callers.Go(func() { c.probeRoutes(ctx, p) })
 	}
+	deadlyCtx, endDeadly := context.WithCancel(ctx)
+	defer endDeadly()
+	if len(s.deadly) > 0 {
+		for i, p := range f.hosts {
+			c := newCaller(f, s.seed, (callersPerHost+1)*s.hosts+i)
+			callers.Go(func() { c.sendDeadly(deadlyCtx, p, s.deadly) })
+		}
+	}
 	f.play(t.Context(), newPlan(s.seed, time.Duration(s.seconds)*time.Second, s.kinds))
+	endDeadly()
 	assert.NoError(t, f.awaitRecovery(s.seed))
 	cancel()
 	callers.Wait()
@@ -119,6 +141,9 @@
 	for _, violation := range f.checker.violations() {
 		t.Errorf("seed %d: %s", s.seed, violation)
 	}
+	for _, note := range f.checker.notes {
+		t.Log(note)
+	}
 	if t.Failed() {
 		for _, p := range f.hosts {
 			for _, line := range p.tail(logLines) {
