--- a/internal/tool/soak/check_test.go
+++ b/internal/tool/soak/check_test.go
@@ -14,10 +14,15 @@
 // checker records what callers and targets observe, and finds violations of the
 // guarantees after the run.
 type checker struct {
-	mu       sync.Mutex
-	records  []record
-	runs     map[string][]fake.Run
-	orders   []fake.Order
+	mu      sync.Mutex
+	records []record
+	runs    map[string][]fake.Run
+	orders  []fake.Order
+	crashes []fake.Run
+	// deadly are the parts of prompts that crash targets.
+	deadly []string
+	// notes are figures of the checks for the log.
+	notes    []string
 	changes  []configChange
 	leftAt   map[string]time.Time
 	faults   map[string][]span
@@ -55,6 +60,13 @@
 	c.orders = append(c.orders, o)
 }
 
+// RecordCrash implements [fake.Recorder].
+func (c *checker) RecordCrash(r fake.Run) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.crashes = append(c.crashes, r)
+}
+
 func (c *checker) addRecord(r record) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -151,7 +163,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	found := slices.Clone(c.failures)
-	for _, check := range []func() []string{c.checkAnswers, c.checkDraining, c.checkConfigApplied, c.checkConfigOrder, c.checkOrders, c.checkRetries, c.checkStops} {
+	for _, check := range []func() []string{c.checkAnswers, c.checkDraining, c.checkConfigApplied, c.checkConfigOrder, c.checkOrders, c.checkRetries, c.checkStops, c.checkParts} {
 		found = append(found, check()...)
 	}
 	return found
--- a/internal/tool/soak/fleet_test.go
+++ b/internal/tool/soak/fleet_test.go
@@ -24,6 +24,8 @@
 	// crashDowntime is how long a crashed target stays down: until its entry has
 	// expired.
 	crashDowntime = 1200 * time.Millisecond
+	// longEntryTime is how long the entry of a crashed target outlasts its downtime.
+	longEntryTime = 5 * time.Second
 	// serveAfterLeaving is how long a target still serves after it was drained or
 	// removed from the list.
 	serveAfterLeaving = 5 * time.Second
@@ -55,8 +57,9 @@
 	stepMu sync.Mutex
 }
 
-func newFleet(t *testing.T, binary, folder string, hosts int) *fleet {
+func newFleet(t *testing.T, binary, folder string, hosts int, deadly []string) *fleet {
 	f := &fleet{t: t, store: fake.NewStore(), checker: newChecker(), weights: 1}
+	f.checker.deadly = deadly
 	f.config = fake.Config{Version: 1, Keys: map[string][]string{}}
 	for i := range workspaceCount {
 		f.config.Keys[fmt.Sprint("workspace", i)] = []string{fmt.Sprint("key-", i, "-a"), fmt.Sprint("key-", i, "-b")}
@@ -94,15 +97,41 @@
 	t := &target{Target: fake.NewTarget(&fake.Target{
 		ID: fmt.Sprintf("t-%02d", f.created), Service: service, Model: model, Slots: targetSlots,
 	}, f.store, f.checker)}
+	address := anyPort
+	var err error
+	if model != "" && len(f.checker.deadly) > 0 {
+		t.Hazard = f.hazard(t, f.created)
+		// An outgoing connection must not take the port while the target is down.
+		address, err = freePort()
+	}
 	f.targets = append(f.targets, t)
 	f.mu.Unlock()
-	var err error
-	t.proxy, err = newProxy(t.Address)
 	require.NoError(f.t, err)
-	t.ListedAddress = t.proxy.address()
+	t.proxy, err = newProxy(address, t.Address)
+	require.NoError(f.t, err)
+	t.ListedAddress = t.proxy.address
 	require.NoError(f.t, t.Start())
 }
 
+// hazard returns what crashes a target. Every second one comes back with another ID,
+// and the entries of half of them last until after that.
+func (f *fleet) hazard(t *target, number int) *fake.Hazard {
+	h := &fake.Hazard{Parts: f.checker.deadly, Listening: func(on bool) {
+		f.checker.addError(t.proxy.setListening(on))
+	}}
+	if number%2 == 0 {
+		first, restarts := t.ID, 0
+		h.NextID = func() string {
+			restarts++
+			return fmt.Sprintf("%s-%d", first, restarts)
+		}
+	}
+	if number%4 < 2 {
+		h.EntryTime = longEntryTime
+	}
+	return h
+}
+
 func (f *fleet) target(index int) *target {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -156,10 +185,10 @@
 		f.inject(s.duration, []*process{p}, func() { p.store.setMode(silence) }, func() { p.store.setMode(forward) })
 	case dropStoreReplies:
 		f.inject(s.duration, []*process{p}, func() { p.store.setMode(dropReplies) }, func() { p.store.setMode(forward) })
-	case crashTarget, drainTarget, unlistTarget, muteTarget, mixUpTarget, truncateTarget, silenceTarget, resetTarget, delayTarget:
-		f.targetStep(s, f.target(s.index))
 	case addRoute, dropRoute, revokeKey, changeWeights:
 		f.configStep(s)
+	default:
+		f.targetStep(s, f.target(s.index))
 	}
 }
 
@@ -221,10 +250,15 @@
 	}
 }
 
+// targetFaults are the faults of the steps that change a target's answers.
+var targetFaults = map[stepKind]fake.Fault{
+	muteTarget: fake.NoResponse, mixUpTarget: fake.WrongResponse, truncateTarget: fake.TruncatedResponse, unframeTarget: fake.UnframedResponse,
+	resetUnframedTarget: fake.UnframedReset, cutEventTarget: fake.EndInEvent, cutUnframedTarget: fake.UnframedEndInEvent,
+}
+
 func (f *fleet) targetStep(s step, t *target) {
 	t.stepMu.Lock()
 	defer t.stepMu.Unlock()
-	faults := map[stepKind]fake.Fault{muteTarget: fake.NoResponse, mixUpTarget: fake.WrongResponse, truncateTarget: fake.TruncatedResponse}
 	modes := map[stepKind]mode{silenceTarget: silence, resetTarget: reset, delayTarget: delay}
 	switch s.kind {
 	case crashTarget:
@@ -233,14 +267,14 @@
 		f.checker.addError(t.Start())
 	case drainTarget, unlistTarget:
 		f.replaceTarget(s.kind, t)
-	case muteTarget, mixUpTarget, truncateTarget:
-		t.SetFault(faults[s.kind])
-		time.Sleep(s.duration)
-		t.SetFault(fake.None)
-	default:
+	case silenceTarget, resetTarget, delayTarget:
 		t.proxy.setMode(modes[s.kind])
 		time.Sleep(s.duration)
 		t.proxy.setMode(forward)
+	default:
+		t.SetFault(targetFaults[s.kind])
+		time.Sleep(s.duration)
+		t.SetFault(fake.None)
 	}
 }
 
@@ -266,7 +300,7 @@
 	} else {
 		f.checker.addError(t.Drain())
 	}
-	f.checker.targetLeft(t.ID)
+	f.checker.targetLeft(t.CurrentID())
 	time.Sleep(serveAfterLeaving)
 	t.Stop()
 	t.Unlist()
--- a/internal/tool/soak/soak_test.go
+++ b/internal/tool/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -24,15 +25,22 @@
 	logFolder = flag.String("keep", "", "folder for the settings and logs of the run; temporary when empty")
 )
 
-// regressions are seeds that failed once, by the cause of the failure.
-var regressions = map[string]struct {
+// scenario determines a run.
+type scenario struct {
 	seed           uint64
 	seconds, hosts int
-}{
-	"a SIGHUP ended a process that had just started":          {8, 12, 5},
-	"requests that many callers send were blamed for crashes": {9, 12, 5},
-	"the stand-in of a target that left put itself back":      {203, 10, 5},
-	"the same blame, while hosts lost the store":              {108, 12, 5},
+	// kinds are the steps to draw from.
+	kinds []stepKind
+	// deadly are the parts of prompts that crash targets.
+	deadly []string
+}
+
+// regressions are seeds that failed once, by the cause of the failure.
+var regressions = map[string]scenario{
+	"a SIGHUP ended a process that had just started":          {seed: 8, seconds: 12, hosts: 5, kinds: kinds},
+	"requests that many callers send were blamed for crashes": {seed: 9, seconds: 12, hosts: 5, kinds: kinds},
+	"the stand-in of a target that left put itself back":      {seed: 203, seconds: 10, hosts: 5, kinds: kinds},
+	"the same blame, while hosts lost the store":              {seed: 108, seconds: 12, hosts: 5, kinds: kinds},
 }
 
 const (
@@ -47,14 +55,36 @@
 )
 
 func TestSoak(t *testing.T) {
-	runSoak(t, *seed, *seconds, *hostCount)
+	runSoak(t, scenario{seed: *seed, seconds: *seconds, hosts: *hostCount, kinds: kinds})
 }
 
 func TestSoakRegressions(t *testing.T) {
 	for name, r := range regressions {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			runSoak(t, r.seed, r.seconds, r.hosts)
+			runSoak(t, r)
+		})
+	}
+}
+
+// TestSoakFraming guards against answers and streams that are cut off at their end and
+// pass for complete ones while other faults happen.
+func TestSoakFraming(t *testing.T) {
+	for _, seed := range []uint64{601, 602} {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			runSoak(t, scenario{seed: seed, seconds: 8, hosts: 4, kinds: slices.Concat(kinds, framingKinds, framingKinds)})
+		})
+	}
+}
+
+// TestSoakDeadlyParts guards against hosts that let a part of a prompt crash one target
+// after another, or refuse sound requests for what they share with the deadly ones.
+func TestSoakDeadlyParts(t *testing.T) {
+	for seed, deadly := range map[uint64][]string{728: {"dead1"}, 847: {"dead1", "dead2"}} {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			runSoak(t, scenario{seed: seed, seconds: 24, hosts: 4, kinds: kinds, deadly: deadly})
 		})
 	}
 }
@@ -74,33 +104,45 @@
 	return path, nil
 })
 
-func runSoak(t *testing.T, seed uint64, seconds, hosts int) {
+func runSoak(t *testing.T, s scenario) {
 	binary, err := buildBinary()
 	require.NoError(t, err, binary)
 	folder := *logFolder
 	if folder == "" {
 		folder = t.TempDir()
 	}
-	f := newFleet(t, binary, folder, hosts)
+	f := newFleet(t, binary, folder, s.hosts, s.deadly)
 	defer f.close()
 	require.NoError(t, f.awaitReady(startTimeout))
 	ctx, cancel := context.WithCancel(t.Context())
 	var callers sync.WaitGroup
-	for i := range callersPerHost * hosts {
-		c := newCaller(f, seed, i)
+	for i := range callersPerHost * s.hosts {
+		c := newCaller(f, s.seed, i)
 		callers.Go(func() { c.sendRequests(ctx) })
 	}
 	for i, p := range f.hosts {
-		c := newCaller(f, seed, callersPerHost*hosts+i)
+		c := newCaller(f, s.seed, callersPerHost*s.hosts+i)
 		callers.Go(func() { c.probeRoutes(ctx, p) })
 	}
-	f.play(t.Context(), newPlan(seed, time.Duration(seconds)*time.Second))
-	assert.NoError(t, f.awaitRecovery(seed))
+	deadlyCtx, endDeadly := context.WithCancel(ctx)
+	defer endDeadly()
+	if len(s.deadly) > 0 {
+		for i, p := range f.hosts {
+			c := newCaller(f, s.seed, (callersPerHost+1)*s.hosts+i)
+			callers.Go(func() { c.sendDeadly(deadlyCtx, p, s.deadly) })
+		}
+	}
+	f.play(t.Context(), newPlan(s.seed, time.Duration(s.seconds)*time.Second, s.kinds))
+	endDeadly()
+	assert.NoError(t, f.awaitRecovery(s.seed))
 	cancel()
 	callers.Wait()
-	f.report(t, seed)
+	f.report(t, s.seed)
 	for _, violation := range f.checker.violations() {
-		t.Errorf("seed %d: %s", seed, violation)
+		t.Errorf("seed %d: %s", s.seed, violation)
+	}
+	for _, note := range f.checker.notes {
+		t.Log(note)
 	}
 	if t.Failed() {
 		for _, p := range f.hosts {
@@ -163,7 +205,7 @@
 	defer f.mu.Unlock()
 	for _, t := range f.targets {
 		if v := t.Version(); t.Model != "" && v != f.weights {
-			return t.ID + " serves weight version " + strconv.FormatUint(v, 10) + " instead of " + strconv.FormatUint(f.weights, 10)
+			return t.CurrentID() + " serves weight version " + strconv.FormatUint(v, 10) + " instead of " + strconv.FormatUint(f.weights, 10)
 		}
 	}
 	return ""
