Refuse requests with parts that crash every engine which answers them

Callers lost answers of engines that crashed one after the other (BUDGET): one part of a prompt crashed each engine that began to answer, in requests of which no two were alike. Cause: crashes were counted by a digest of the whole request, were known 3 to 4 s late from the list of targets, and a broken request was sent to a second engine at once. A request that had once been answered was never counted again. Class: evidence was attributed to the wrong unit, and arrived too late. Change: package poison counts crashes against digests and parts; it refuses what explains the crashes best and clears what engines survive since. Package deadly finds a crash at once, as the engine refuses a connection, and shares crashes and survivals with the other hosts. A request whose engine crashed as it began to answer is not sent again.

--- a/internal/gate/host/caches.go
+++ b/internal/gate/host/caches.go
@@ -22,8 +22,6 @@
 	positionInterval = time.Second
 	// maxPositions bounds the positions kept for messages to peers.
 	maxPositions = 1024
-	// maxCrashes bounds the crash reports kept for messages to peers.
-	maxCrashes = 1024
 	// minStrength is the lower bound of a host's weight, used when its strength is
 	// unknown.
 	minStrength = 0.1
--- a/internal/gate/host/host.go
+++ b/internal/gate/host/host.go
@@ -21,6 +21,7 @@
 	"github.com/cicadamill/cicadamill/internal/gate/budget"
 	"github.com/cicadamill/cicadamill/internal/gate/caches"
 	"github.com/cicadamill/cicadamill/internal/gate/call"
+	"github.com/cicadamill/cicadamill/internal/gate/deadly"
 	"github.com/cicadamill/cicadamill/internal/gate/drain"
 	"github.com/cicadamill/cicadamill/internal/gate/feed"
 	"github.com/cicadamill/cicadamill/internal/gate/listen"
@@ -34,7 +35,6 @@
 	"github.com/cicadamill/cicadamill/internal/infra/table"
 	"github.com/cicadamill/cicadamill/internal/node/orders"
 	"github.com/cicadamill/cicadamill/internal/route/quota"
-	"github.com/cicadamill/cicadamill/internal/safety/poison"
 	"github.com/cicadamill/cicadamill/internal/safety/stall"
 	"github.com/cicadamill/cicadamill/internal/watch/meter"
 	"github.com/cicadamill/cicadamill/internal/watch/spool"
@@ -133,9 +133,6 @@
 
 	mu     sync.Mutex
 	roster *roster.List
-	poison *poison.Counter
-	// crashes are the crash reports to send to other hosts.
-	crashes *oplog.Log[crashReport]
 	// cachePositions are the positions up to which hosts have read each cache's
 	// events, positionUpdates those to send to other hosts, and positionReportedAt
 	// the times at which this host last added one.
@@ -154,6 +151,7 @@
 	// Only the maintenance loop uses it.
 	loggedMaxReplacedAge time.Duration
 
+	deadly        *deadly.Detector
 	pool          *pool.Pool
 	peers         *peers.Peers
 	drainer       *drain.Drainer
@@ -189,7 +187,7 @@
 func New(settings Settings, platform Platform, logger hclog.Logger, lines *spool.Spool) *Host {
 	h := &Host{
 		settings: settings, platform: platform, logger: logger, lines: lines,
-		roster: roster.New(), poison: poison.New(), crashes: oplog.New[crashReport](maxCrashes),
+		roster:         roster.New(),
 		cachePositions: map[string]caches.Position{}, positionUpdates: oplog.New[positionUpdate](maxPositions), positionReportedAt: map[string]time.Time{},
 		picker: pick.New(pick.Options{DataCentre: settings.DataCentre, Seed: seedOf(settings.Name)}),
 		meter:  meter.New(time.Second, logger), feeds: map[string]*feed.Feed{},
@@ -202,6 +200,9 @@
 		Self: h.self(), Address: settings.Peer, Compose: h.compose, Apply: h.receive, DropLoad: h.dropPeer,
 		Rows: h.rows, Tables: h.tables, OnParentReply: h.notifyFeeds, Parts: h.parts, Scope: h.meter.Scope(), Logger: logger,
 	})
+	h.deadly = deadly.New(deadly.Options{
+		Self: settings.Name, Up: h.namesUp, Dial: (&net.Dialer{}).DialContext, Scope: h.meter.Scope(), Logger: logger,
+	})
 	h.drainer = drain.New(drain.Options{
 		Engines: platform.Engines, Targets: h.listedTargets, Running: h.running, Wanted: h.wanted,
 		ChecksFence: func() bool { return h.bounds.Load().ChecksFence }, Loaded: h.observeVersion, Logger: logger,
@@ -210,7 +211,7 @@
 	h.proxy = proxy.New(proxy.Options{
 		Codec: platform.Codec, Plan: h.plan.Load, Picker: h.picker, Lock: &h.mu, Pool: h.pool, Answers: budget.New(answerBytes(settings.MemoryBytes)), Fleet: h.peers,
 		RetryBound: settings.Bounds.Repeats, DefaultTimeout: time.Minute, OnVersion: h.observeVersion, Scope: h.meter.Scope(), Logger: logger,
-		Poison: h.poison, Stopping: h.stop.rejecting.Load,
+		Deadly: h.deadly, Stopping: h.stop.rejecting.Load,
 	})
 	h.addFeed(platform.OperatorTable, h.operatorRows, h.operatorRows, nil)
 	h.addFeed(platform.TargetTable, h.targetReset, h.targetChange, h.storeReturned)
--- a/internal/gate/host/state.go
+++ b/internal/gate/host/state.go
@@ -16,7 +16,6 @@
 	"github.com/cicadamill/cicadamill/internal/gate/roster"
 	"github.com/cicadamill/cicadamill/internal/node/orders"
 	"github.com/cicadamill/cicadamill/internal/safety/order"
-	"github.com/cicadamill/cicadamill/internal/safety/poison"
 )
 
 const (
@@ -201,8 +200,7 @@
 	targets := h.roster.Targets()
 	for id, old := range h.listedTargets() {
 		if t, ok := targets[id]; !old.Leaving && (!ok || t.Born != old.Born) {
-			now := time.Now()
-			h.recordCrashes(now, oplog.Origin{}, h.poison.TargetCrashed(now, id))
+			h.deadly.TargetCrashed(time.Now(), id)
 		}
 	}
 	h.picker.SetTargets(targets)
@@ -290,6 +288,7 @@
 	defer h.mu.Unlock()
 	h.picker.Expire(now)
 	h.logSlowTargets(h.picker.SlowTargets(now))
+	h.deadly.LogRefused(now)
 	stores := map[string]bool{}
 	if p := h.plan.Load(); p != nil {
 		for _, s := range p.Stores {
@@ -363,7 +362,7 @@
 	m.Superseded = h.picker.Superseded(now, supersededBounds*h.bounds.Load().NewWeights)
 	updates, next := h.positionUpdates.Since(after.Positions, to)
 	m.Next.Positions = next
-	m.Crashes, m.Next.Crashes = h.crashesFor(now, to, after.Crashes)
+	m.Crashes, m.Survivals, m.Next.Crashes = h.deadly.Since(now, to, after.Crashes)
 	h.mu.Unlock()
 	for _, r := range updates {
 		if m.Positions == nil {
@@ -374,33 +373,6 @@
 	return m
 }
 
-// crashReport is a target crash attributed to a request.
-type crashReport struct {
-	entry poison.Entry
-	at    time.Time
-}
-
-func (h *Host) recordCrashes(now time.Time, from oplog.Origin, entries []poison.Entry) {
-	for _, e := range entries {
-		h.crashes.Add(from, crashReport{entry: e, at: now.Add(-e.Age)})
-	}
-}
-
-// crashesFor returns the crashes not yet sent to a recipient, or all recorded
-// crashes for a recipient that has received none.
-func (h *Host) crashesFor(now time.Time, to oplog.Recipient, after uint64) ([]poison.Entry, uint64) {
-	reports, next := h.crashes.Since(after, to)
-	if after == oplog.FromNow {
-		return h.poison.Entries(now), next
-	}
-	var entries []poison.Entry
-	for _, c := range reports {
-		c.entry.Age = now.Sub(c.at)
-		entries = append(entries, c.entry)
-	}
-	return entries, next
-}
-
 // tables returns the version and age of this host's copy of each table.
 func (h *Host) tables() map[string]peers.TableState {
 	now := time.Now()
@@ -446,7 +418,7 @@
 	} else {
 		h.picker.ApplyReportWithoutLoad(now, from, m.Report)
 	}
-	h.recordCrashes(now, from, h.poison.Merge(now, m.Crashes))
+	h.deadly.Merge(now, from, m.Crashes, m.Survivals)
 	for name, at := range m.Positions {
 		h.cachePositions[name] = at
 		h.positionUpdates.Add(from, positionUpdate{cache: name, at: at})
@@ -462,6 +434,15 @@
 	}
 }
 
+// namesUp returns the names of the other hosts that are up.
+func (h *Host) namesUp() []string {
+	var names []string
+	for _, node := range h.peers.Up(time.Now()) {
+		names = append(names, node.Name)
+	}
+	return names
+}
+
 // dropPeer removes the load of a host that another host now reports.
 func (h *Host) dropPeer(node string) {
 	h.mu.Lock()
--- a/internal/gate/peers/message.go
+++ b/internal/gate/peers/message.go
@@ -40,7 +40,9 @@
 	// Positions is how far the event streams of caches have been read.
 	Positions map[string]caches.Position `json:"positions,omitempty"`
 	// Crashes lists requests that crashed targets.
-	Crashes []poison.Entry `json:"crashes,omitempty"`
+	Crashes []poison.Crash `json:"crashes,omitempty"`
+	// Survivals lists features of such requests that targets have answered since.
+	Survivals []poison.Survival `json:"survivals,omitempty"`
 	// Up lists the nodes that are up. It is sent at an interval, not in every
 	// message.
 	Up []string `json:"up,omitempty"`
--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -51,6 +51,9 @@
 	reason string
 	// connLost is true when the connection to the target broke.
 	connLost bool
+	// crashed is true when the target crashed as it began to answer, so that the
+	// request may have crashed it.
+	crashed bool
 	// answer is the target's error response, if it sent a complete one.
 	answer *answer
 }
@@ -68,6 +71,9 @@
 func (h *Handler) run(ctx, client context.Context, w http.ResponseWriter, j *job) {
 	for {
 		d, err := h.choose(ctx, j)
+		if err == nil {
+			err = h.checkDeadly(j)
+		}
 		if err != nil {
 			h.conclude(client, w, j, err)
 			return
@@ -100,7 +106,7 @@
 
 // mayRetry reports whether a request that may have run may be sent again.
 func (h *Handler) mayRetry(j *job, b broken) bool {
-	if !j.route.Idempotent() || j.ran >= max(j.route.Attempts, 1) {
+	if b.crashed || !j.route.Idempotent() || j.ran >= max(j.route.Attempts, 1) {
 		return false
 	}
 	return b.answer == nil || !j.stream.begun
@@ -161,16 +167,19 @@
 	cancel context.CancelFunc
 	// first is the time to the first event; zero until it arrives.
 	first time.Duration
-	// headers is true once the response headers have arrived.
-	headers bool
-	end     pick.Outcome
+	// headersAt is when the response headers arrived; zero until then.
+	headersAt time.Time
+	// survived is true once the target is known to have outlived the beginning of its
+	// answer.
+	survived bool
+	end      pick.Outcome
 	// tooLate is true if the attempt was cancelled because it had not begun by
 	// [pick.Dispatch.BeginBy].
 	tooLate atomic.Bool
 }
 
 // send makes one attempt: it sends a request to a target, forwards the response
-// to the client and reports the outcome to Picker and Poison.
+// to the client and reports the outcome to Picker and Deadly.
 func (h *Handler) send(ctx, client context.Context, w http.ResponseWriter, j *job, d pick.Dispatch) result {
 	timeLeft := time.Until(j.deadline) - responseMargin
 	if timeLeft < minTimeLeft {
@@ -192,17 +201,16 @@
 	}
 	h.options.Lock.Lock()
 	h.options.Picker.Finish(time.Now(), s.run, s.end)
+	h.options.Lock.Unlock()
+	h.logAttempt(s, r)
 	switch r := r.(type) {
 	case broken:
-		if r.connLost {
-			h.options.Poison.ConnectionBroke(time.Now(), j.digest, d.Target.ID)
-		}
+		r.crashed = h.mayHaveCrashed(client, s, r)
+		return r
 	case done:
-		h.options.Poison.Answered(j.digest)
+		h.recordSurvival(s)
 	case notRun, clientGone:
 	}
-	h.options.Lock.Unlock()
-	h.logAttempt(s, r)
 	return r
 }
 
@@ -217,7 +225,7 @@
 		return h.classifyError(client, s, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	s.headers = true
+	s.headersAt = time.Now()
 	head := h.options.Codec.DecodeHeader(response.StatusCode, response.Header)
 	if head.WeightVersion > 0 && head.ID == s.job.call.ID {
 		h.options.OnVersion(s.chosen.Target.ID, s.job.call.Prompt.Model, head.WeightVersion)
--- /dev/null
+++ b/internal/gate/proxy/deadly.go
@@ -0,0 +1,62 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/cicadamill/cicadamill/internal/safety/poison"
+)
+
+const (
+	// crashRetryAfter is the Retry-After of a request that is refused because requests
+	// like it crash targets. It leaves time to find out whether that is still so.
+	crashRetryAfter = 30 * time.Second
+	// beginning is how long after the response headers a target may still crash because
+	// of the request.
+	beginning = 200 * time.Millisecond
+)
+
+// featuresOf returns the digest of a request and the hashes of its shared parts.
+func featuresOf(j *job) poison.Request {
+	r := poison.Request{Digest: xxh3.HashSeed(j.call.Body, xxh3.HashString(j.workspace.Name+"\x00"+j.call.Path))}
+	for _, p := range j.call.Prompt.Shared() {
+		r.Parts = append(r.Parts, xxh3.HashString(p.ID))
+	}
+	return r
+}
+
+// checkDeadly returns a refusal if requests like this one crash targets.
+func (h *Handler) checkDeadly(j *job) error {
+	now := time.Now()
+	if j.trial && j.sent == 0 || !h.options.Deadly.Refused(now, j.features) {
+		return nil
+	}
+	if j.sent == 0 && h.options.Deadly.Trial(now, j.features) {
+		j.trial = true
+		return nil
+	}
+	return refusal("crashRequest", http.StatusServiceUnavailable, "requests like this one crash every target that runs them", crashRetryAfter)
+}
+
+// mayHaveCrashed records that an attempt broke as its target began to answer, and
+// reports whether the target has crashed. Only requests whose answer had begun may be
+// the cause; the others had not run yet.
+func (h *Handler) mayHaveCrashed(client context.Context, s *attempt, b broken) bool {
+	headers := !s.headersAt.IsZero()
+	if !b.connLost || headers && time.Since(s.headersAt) > beginning {
+		return false
+	}
+	return h.options.Deadly.Broke(context.WithoutCancel(client), s.job.features, s.chosen.Target, headers) && headers
+}
+
+// recordSurvival records that the target outlived the beginning of its answer.
+func (h *Handler) recordSurvival(s *attempt) {
+	if s.survived {
+		return
+	}
+	s.survived = true
+	h.options.Deadly.Answered(time.Now(), s.headersAt, s.job.features)
+}
--- a/internal/gate/proxy/log.go
+++ b/internal/gate/proxy/log.go
@@ -37,7 +37,7 @@
 		parts = append(parts, p.ID)
 	}
 	h.options.Logger.Info("connection broke", "request", s.job.call.ID, "target", s.chosen.Target.ID, "parts", parts,
-		"headers", s.headers, "events", s.first > 0, "tookMs", time.Since(s.began).Milliseconds())
+		"headers", !s.headersAt.IsZero(), "events", s.first > 0, "tookMs", time.Since(s.began).Milliseconds())
 }
 
 // logRefusal logs a request that this node ended with an error of its own.
--- a/internal/gate/proxy/proxy.go
+++ b/internal/gate/proxy/proxy.go
@@ -14,11 +14,11 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
-	"github.com/zeebo/xxh3"
 
 	"github.com/cicadamill/cicadamill/internal/entry/fault"
 	"github.com/cicadamill/cicadamill/internal/gate/budget"
 	"github.com/cicadamill/cicadamill/internal/gate/call"
+	"github.com/cicadamill/cicadamill/internal/gate/deadly"
 	"github.com/cicadamill/cicadamill/internal/gate/pick"
 	"github.com/cicadamill/cicadamill/internal/gate/plan"
 	"github.com/cicadamill/cicadamill/internal/gate/pool"
@@ -41,9 +41,9 @@
 	Plan func() *plan.Plan
 	// Picker selects targets. The handler and its owner share it under Lock.
 	Picker *pick.Picker
-	// Poison tracks requests that crash targets.
-	Poison *poison.Counter
-	// Lock guards Picker and Poison.
+	// Deadly finds requests that crash targets.
+	Deadly *deadly.Detector
+	// Lock guards Picker.
 	Lock *sync.Mutex
 	// Pool holds the connections to targets.
 	Pool *pool.Pool
@@ -152,10 +152,13 @@
 	arrived   time.Time
 	deadline  time.Time
 	excluded  []string
-	digest    uint64
+	// features is what crashes of targets are counted against.
+	features poison.Request
 	// ran is the number of attempts that may have run at the target, sent the
 	// number of all attempts.
 	ran, sent int
+	// trial is true if the request is sent although requests like it are refused.
+	trial bool
 	// stream is how much of a streamed response the client has received.
 	stream position
 }
@@ -213,17 +216,8 @@
 		}
 		return j, refusal("bodyBroken", http.StatusBadRequest, "the body ended too early", 0)
 	}
-	j.digest = xxh3.HashSeed(j.call.Body, xxh3.HashString(j.workspace.Name+"\x00"+j.call.Path))
-	if h.crashedTargets(j) {
-		return j, refusal("crashRequest", http.StatusServiceUnavailable, "the request has crashed every target that ran it", crashRetryAfter)
-	}
-	return j, nil
-}
-
-func (h *Handler) crashedTargets(j *job) bool {
-	h.options.Lock.Lock()
-	defer h.options.Lock.Unlock()
-	return h.options.Poison.Refused(time.Now(), j.digest)
+	j.features = featuresOf(j)
+	return j, h.checkDeadly(j)
 }
 
 // authenticate looks up the workspace of the client's API key.
@@ -246,10 +240,6 @@
 // because the retry reaches another node.
 const stopRetryAfter = 10 * time.Millisecond
 
-// crashRetryAfter is the Retry-After of a request that has crashed targets. It
-// leaves time to find out whether the request caused the crashes.
-const crashRetryAfter = 30 * time.Second
-
 // startRetryAfter is the Retry-After of a node that has not loaded its
 // configuration yet. The store answers within milliseconds.
 const startRetryAfter = 300 * time.Millisecond
--- a/internal/gate/proxy/response.go
+++ b/internal/gate/proxy/response.go
@@ -115,6 +115,9 @@
 		if s.first == 0 {
 			h.firstEvent(s)
 		}
+		if time.Since(s.headersAt) > beginning {
+			h.recordSurvival(s)
+		}
 		if err := h.forwardEvent(w, s, response, next); err != nil {
 			return clientGone{}
 		}
