Send a restarted peer everything, not only what is new

Callers lost answers of engines that crashed on a part which most hosts refused already (LOST): hosts that were killed and back within half a second went on sending requests with it. Other hosts send a peer what comes after the position that it has received, and reset that position only for a peer that they have missed. Change: messages name the start of their sender's process; a new one resets the positions of both logs, and results of messages to the old one don't count.

--- a/internal/gate/peers/message.go
+++ b/internal/gate/peers/message.go
@@ -15,6 +15,8 @@
 	From string `json:"from"`
 	// Address is where the sender listens for peers.
 	Address string `json:"address"`
+	// Start identifies the start of the sender's process.
+	Start uint64 `json:"start,omitempty"`
 	// DataCentre is the sender's data centre, Strength its share of a CPU core.
 	DataCentre string  `json:"dataCentre,omitempty"`
 	Strength   float64 `json:"strength,omitempty"`
--- a/internal/gate/peers/peers.go
+++ b/internal/gate/peers/peers.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -77,7 +78,9 @@
 // messages, and the HTTP handler of the listener for peers. See [New].
 type Peers struct {
 	options Options
-	client  *http.Client
+	// start identifies this start of the process.
+	start  uint64
+	client *http.Client
 
 	mu           sync.Mutex
 	tree         *tree.Topology
@@ -91,6 +94,8 @@
 // link is the connection state of one peer.
 type link struct {
 	address string
+	// start identifies the peer's process that acked and received belong to.
+	start uint64
 	// busy is true while a message to the peer is in flight.
 	busy bool
 	// acked is the position in this node's logs that the peer has received,
@@ -122,7 +127,7 @@
 func New(options Options) *Peers {
 	dialer := &net.Dialer{Timeout: callTimeout}
 	return &Peers{
-		options: options, tree: tree.New(options.Self), links: map[string]*link{},
+		options: options, start: rand.Uint64(), tree: tree.New(options.Self), links: map[string]*link{},
 		client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{
 			DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1,
 			IdleConnTimeout: 10 * time.Second, ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10, MaxResponseHeaderBytes: maxHeaderBytes,
@@ -153,6 +158,16 @@
 	return l
 }
 
+// linkTo returns the link to the sender of a message. If the sender has restarted, it
+// has forgotten what it received before.
+func (p *Peers) linkTo(now time.Time, m Message) *link {
+	l := p.link(now, tree.Node{Name: m.From, DataCentre: m.DataCentre, Strength: m.Strength}, m.Address)
+	if l.start != m.Start {
+		l.start, l.acked, l.received = m.Start, latest, latest
+	}
+	return l
+}
+
 // Nodes returns the number of nodes that may be running, this one included.
 func (p *Peers) Nodes() int {
 	p.mu.Lock()
--- a/internal/gate/peers/send.go
+++ b/internal/gate/peers/send.go
@@ -19,9 +19,11 @@
 	to, address string
 	// acked and received are those of the link; see [link].
 	acked, received Cursor
-	wantsReply      bool
-	names           []string
-	message         Message
+	// start identifies the peer's process that they belong to.
+	start      uint64
+	wantsReply bool
+	names      []string
+	message    Message
 }
 
 // sendResult is the outcome of a message, with the response if one was requested.
@@ -59,11 +61,11 @@
 			// Skip the log entries that a silent peer misses, since they would make
 			// each message to it longer.
 			l.acked = latest
-			probes = append(probes, outgoing{to: name, address: l.address, message: p.withSender(Message{Probe: true, Next: latest})})
+			probes = append(probes, outgoing{to: name, address: l.address, start: l.start, message: p.withSender(Message{Probe: true, Next: latest})})
 			continue
 		}
 		messages = append(messages, outgoing{
-			to: name, address: l.address, acked: l.acked, received: l.received, wantsReply: p.parent != "", names: p.upNames(now, l, false),
+			to: name, address: l.address, acked: l.acked, received: l.received, start: l.start, wantsReply: p.parent != "", names: p.upNames(now, l, false),
 		})
 	}
 	for name := range p.links {
@@ -80,7 +82,7 @@
 
 // withSender fills in the fields of a message that describe its sender.
 func (p *Peers) withSender(m Message) Message {
-	m.From, m.Address = p.options.Self.Name, p.options.Address
+	m.From, m.Address, m.Start = p.options.Self.Name, p.options.Address, p.start
 	m.DataCentre, m.Strength = p.options.Self.DataCentre, p.options.Self.Strength
 	return m
 }
@@ -191,7 +193,7 @@
 	p.mu.Lock()
 	if l, ok := p.links[s.to]; ok && l.address == s.address {
 		l.busy = false
-		if s.ok {
+		if s.ok && s.start == l.start {
 			l.acked = s.message.Next
 		}
 	}
@@ -224,9 +226,8 @@
 		p.mu.Unlock()
 		return
 	}
-	node := tree.Node{Name: m.From, DataCentre: m.DataCentre, Strength: m.Strength}
-	p.link(now, node, m.Address)
-	p.tree.RecordMessage(now, node, role)
+	p.linkTo(now, m)
+	p.tree.RecordMessage(now, tree.Node{Name: m.From, DataCentre: m.DataCentre, Strength: m.Strength}, role)
 	p.tree.RecordReport(now, m.Up)
 	if m.Drained != nil {
 		p.applyDrained(now, origin, *m.Drained)
--- a/internal/gate/peers/serve.go
+++ b/internal/gate/peers/serve.go
@@ -57,9 +57,8 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		if m.From != "" && m.From != p.options.Self.Name {
-			node := tree.Node{Name: m.From, DataCentre: m.DataCentre, Strength: m.Strength}
-			p.link(now, node, m.Address)
-			p.tree.RecordMessage(now, node, tree.Other)
+			p.linkTo(now, m)
+			p.tree.RecordMessage(now, tree.Node{Name: m.From, DataCentre: m.DataCentre, Strength: m.Strength}, tree.Other)
 		}
 		return nil
 	case m.WantsReply:
