Send a joining host a short history of survived parts

Cause: each host that joined got the latest 4,096 survivals, some 100 kB, from each of its peers; after a herd of restarts that fills the links of small hosts for seconds. Change: 256; the survivals of parts that crashes are counted against go with the crashes. Result: tests of poison pass, the simulated fleet with restarting hosts among them.

--- a/internal/safety/poison/poison.go
+++ b/internal/safety/poison/poison.go
@@ -49,9 +49,11 @@
 	// survivalLifetime is how long a survival is known to belong to a feature's
 	// history.
 	survivalLifetime = 24 * time.Hour
-	// maxEntries is the maximum number of broken requests, of crashes and of
-	// survivals that are sent at once.
+	// maxEntries is the maximum number of broken requests and of crashes.
 	maxEntries = 4096
+	// maxHistory is the maximum number of survivals of parts without a crash that a
+	// joining node gets. It gets those of crashed ones with the crashes.
+	maxHistory = 256
 	// maxSuspects is the maximum number of features in all crashes.
 	maxSuspects = 16 * maxEntries
 	// maxSurvivals is the maximum number of parts, and of requests, whose latest
--- a/internal/safety/poison/survive.go
+++ b/internal/safety/poison/survive.go
@@ -32,7 +32,7 @@
 	c.refresh(now)
 	all := survivalSet{}
 	parts := c.parts.Keys()
-	for _, part := range parts[max(0, len(parts)-maxEntries):] {
+	for _, part := range parts[max(0, len(parts)-maxHistory):] {
 		all[feature{hash: part}], _ = c.parts.Peek(part)
 	}
 	for f, s := range c.suspects {
