End waiting requests also if their weights are replaced after they were sent

Seen: a request sent before a newer version was named had no time by which it must have begun. One that waited 20 s at a mute engine could begin on replaced weights any time after the operators' bound. Cause: the time was taken from the decision that chose the engine, which knows only the versions named until then. A limit lifted later didn't end the timer either. Class: decisions kept beyond what they were based on. Change: attempts whose response headers haven't arrived are in a list of the handler; the host's maintenance asks the picker every 50 ms below which version no request may begin any more and cancels the attempts below it. This replaces the timer.

--- a/internal/gate/host/state.go
+++ b/internal/gate/host/state.go
@@ -258,6 +258,7 @@
 		h.picker.SetDraining(draining)
 		h.picker.SetMaxReplacedAge(now, maxAge)
 		h.mu.Unlock()
+		h.proxy.CancelReplaced(now)
 		h.logMaxReplacedAge(maxAge)
 		if expired {
 			h.logger.Info("removed targets with expired entries")
--- a/internal/gate/pick/choose.go
+++ b/internal/gate/pick/choose.go
@@ -267,7 +267,7 @@
 		if since, replaced := versions.replacedAt(version); replaced {
 			o.dispatch.ReplacedFor = now.Sub(since)
 			if s.maxReplacedAge > 0 {
-				o.dispatch.BeginBy = since.Add(s.maxReplacedAge + MaxBeginWait)
+				o.dispatch.BeginBy = s.beginBy(since)
 				o.overloaded = o.overloaded || now.Add(o.dispatch.Expected).After(o.dispatch.BeginBy)
 			}
 		}
--- a/internal/gate/pick/pick.go
+++ b/internal/gate/pick/pick.go
@@ -236,6 +236,29 @@
 	}
 }
 
+// beginBy returns when a request for weights that were replaced at the given time must
+// have begun.
+func (s *Picker) beginBy(replaced time.Time) time.Time {
+	return replaced.Add(s.maxReplacedAge + MaxBeginWait)
+}
+
+// MinBeginVersions returns for each model the oldest version on which a request that
+// was sent before may still begin to run. Models without a limit are left out.
+func (s *Picker) MinBeginVersions(now time.Time) map[string]uint64 {
+	if s.maxReplacedAge <= 0 {
+		return nil
+	}
+	oldest := map[string]uint64{}
+	for model, m := range s.models {
+		for _, a := range m.announced {
+			if !now.Before(s.beginBy(a.since)) {
+				oldest[model] = a.version
+			}
+		}
+	}
+	return oldest
+}
+
 // Newest returns the newest announced version of each model.
 func (s *Picker) Newest(now time.Time) map[string]AnnouncedVersion {
 	all := make(map[string]AnnouncedVersion, len(s.models))
--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -164,8 +164,7 @@
 	// headers is true once the response headers have arrived.
 	headers bool
 	end     pick.Outcome
-	// tooLate is true if the attempt was cancelled because it had not begun by
-	// [pick.Dispatch.BeginBy].
+	// tooLate is true if [Handler.CancelReplaced] cancelled the attempt.
 	tooLate atomic.Bool
 }
 
@@ -244,7 +243,7 @@
 	}
 }
 
-// notBegun is the reason of attempts cancelled because of [pick.Dispatch.BeginBy].
+// notBegun is the reason of attempts that [Handler.CancelReplaced] cancelled.
 const notBegun = "not begun while its weights may answer"
 
 // classifyError classifies an error that occurred before the response headers.
@@ -301,24 +300,18 @@
 	return j.service.MaxConns / max(h.options.Fleet.Nodes(), 1)
 }
 
-// cancelUnbegun cancels an attempt whose response headers take too long: if it may be
-// retried, when they take much longer than expected; in any case when the target's
-// weights may no longer answer. The returned function stops the timers.
+// cancelUnbegun lets an attempt whose response headers take too long be cancelled: if
+// it may be retried, when they take much longer than expected; in any case when the
+// target's weights may no longer answer. The returned function ends that.
 func (h *Handler) cancelUnbegun(s *attempt) func() {
+	h.unbegun.add(s)
 	j, stop := s.job, func() {}
 	if j.route.Idempotent() && j.ran+1 < max(j.route.Attempts, 1) {
 		silent := time.AfterFunc(max(2*j.route.Objective, 3*s.chosen.Expected), s.cancel)
 		stop = func() { silent.Stop() }
 	}
-	if s.chosen.BeginBy.IsZero() {
-		return stop
-	}
-	late := time.AfterFunc(time.Until(s.chosen.BeginBy), func() {
-		s.tooLate.Store(true)
-		s.cancel()
-	})
 	return func() {
-		late.Stop()
+		h.unbegun.remove(s)
 		stop()
 	}
 }
--- a/internal/gate/proxy/proxy.go
+++ b/internal/gate/proxy/proxy.go
@@ -70,6 +70,7 @@
 	options Options
 	meters  meters
 	random  func() float64
+	unbegun unbegun
 
 	mu     sync.Mutex
 	quotas map[string]*quota.Quota
@@ -82,7 +83,7 @@
 //	server := limit.Server(proxy.New(options), limits)
 func New(options Options) *Handler {
 	return &Handler{
-		options: options, meters: newMeters(options.Scope), random: random(),
+		options: options, meters: newMeters(options.Scope), random: random(), unbegun: unbegun{attempts: map[*attempt]struct{}{}},
 		quotas: map[string]*quota.Quota{}, idle: make(chan struct{}, 1),
 	}
 }
--- a/internal/gate/proxy/proxy_test.go
+++ b/internal/gate/proxy/proxy_test.go
@@ -155,6 +155,7 @@
 
 type fixture struct {
 	server   *httptest.Server
+	handler  *proxy.Handler
 	arrivals atomic.Int32
 	mu       sync.Mutex
 	headers  []http.Header
@@ -212,7 +213,8 @@
 	for _, apply := range options {
 		apply(&o)
 	}
-	w.server = httptest.NewServer(proxy.New(o))
+	w.handler = proxy.New(o)
+	w.server = httptest.NewServer(w.handler)
 	t.Cleanup(w.server.Close)
 	return w
 }
--- a/internal/gate/proxy/replaced_test.go
+++ b/internal/gate/proxy/replaced_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"time"
@@ -12,9 +13,30 @@
 	"github.com/cicadamill/cicadamill/internal/gate/proxy"
 )
 
+// maintainInterval is that of a host's maintenance.
+const maintainInterval = 50 * time.Millisecond
+
+// maintain lets the handler cancel attempts at replaced weights until the test ends.
+func (w *fixture) maintain(t *testing.T) {
+	t.Helper()
+	go func(ctx context.Context) {
+		for ctx.Err() == nil {
+			time.Sleep(maintainInterval)
+			w.handler.CancelReplaced(time.Now())
+		}
+	}(t.Context())
+}
+
+// recordVersion sets the version that both targets serve.
+func recordVersion(o *proxy.Options, version uint64) {
+	for _, id := range []string{"t0", "t1"} {
+		o.Picker.RecordVersion(id, pick.ObservedVersion{Born: 1, Model: "m", Version: version})
+	}
+}
+
 // TestWaitingRequestsLeaveReplacedWeights guards against requests that were sent before
 // the limit on replaced weights, waited at the engine, and began after the operators'
-// bound.
+// bound, also if the newer weights were named only after the request was sent.
 func TestWaitingRequestsLeaveReplacedWeights(t *testing.T) {
 	tests := map[string]struct {
 		path   string
@@ -28,33 +50,47 @@
 		"a slow answer that has begun":         {"/stream/x", slowEvents, 200, 1},
 	}
 	for name, test := range tests {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			w := newFixture(t, []target{test.target, test.target}, func(o *proxy.Options) {
-				now := time.Now()
-				loaded := time.AfterFunc(300*time.Millisecond, func() {
-					o.Lock.Lock()
-					defer o.Lock.Unlock()
-					for _, id := range []string{"t0", "t1"} {
-						o.Picker.RecordVersion(id, pick.ObservedVersion{Born: 1, Model: "m", Version: 2})
-					}
-				})
-				t.Cleanup(func() { loaded.Stop() })
-				for _, id := range []string{"t0", "t1"} {
-					o.Picker.RecordVersion(id, pick.ObservedVersion{Born: 1, Model: "m", Version: 1})
-				}
-				o.Picker.Announce(now, "m", pick.AnnouncedVersion{Version: 2, Age: 10 * time.Second})
-				// Requests may be sent for another 200 ms, and begin for 1 s more.
-				o.Picker.SetMaxReplacedAge(now, 10200*time.Millisecond)
+		for when, named := range map[string]time.Duration{"named before": 0, "named while it waits": 250 * time.Millisecond} {
+			t.Run(name+", "+when, func(t *testing.T) {
+				t.Parallel()
+				w := newFixture(t, []target{test.target, test.target}, func(o *proxy.Options) { nameAndLoad(t, o, named) })
+				w.maintain(t)
+				began := time.Now()
+				got := w.sendBody(t, test.path, "body", "Model", "m")
+				require.NoError(t, got.err)
+				assert.Equal(t, test.status, got.status)
+				assert.Equal(t, test.arrivals, int(w.arrivals.Load()))
+				assert.Less(t, time.Since(began), 4*time.Second)
 			})
-			began := time.Now()
-			got := w.sendBody(t, test.path, "body", "Model", "m")
-			require.NoError(t, got.err)
-			assert.Equal(t, test.status, got.status)
-			assert.Equal(t, test.arrivals, int(w.arrivals.Load()))
-			assert.Less(t, time.Since(began), longTimeout/4)
+		}
+	}
+}
+
+// nameAndLoad makes the targets serve version 1 until they load version 2 after 300 ms.
+// From the naming on requests may be sent to version 1 for 200 ms, and begin for 1 s
+// more.
+func nameAndLoad(t *testing.T, o *proxy.Options, named time.Duration) {
+	t.Helper()
+	at := func(after time.Duration, act func()) {
+		timer := time.AfterFunc(after, func() {
+			o.Lock.Lock()
+			defer o.Lock.Unlock()
+			act()
 		})
+		t.Cleanup(func() { timer.Stop() })
+	}
+	name := func() {
+		o.Picker.Announce(time.Now(), "m", pick.AnnouncedVersion{Version: 2, Age: 10 * time.Second})
+	}
+	recordVersion(o, 1)
+	o.Picker.Announce(time.Now(), "m", pick.AnnouncedVersion{Version: 1, Age: time.Minute})
+	o.Picker.SetMaxReplacedAge(time.Now(), 10200*time.Millisecond)
+	if named == 0 {
+		name()
+	} else {
+		at(named, name)
 	}
+	at(300*time.Millisecond, func() { recordVersion(o, 2) })
 }
 
 // slowEvents begins to answer at once and sends its event after the bound.
--- /dev/null
+++ b/internal/gate/proxy/unbegun.go
@@ -0,0 +1,53 @@
+package proxy
+
+import (
+	"sync"
+	"time"
+)
+
+// unbegun are the attempts of model requests whose response headers haven't arrived.
+type unbegun struct {
+	mu       sync.Mutex
+	attempts map[*attempt]struct{}
+}
+
+func (u *unbegun) add(s *attempt) {
+	if s.job.call.Prompt.Model == "" {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.attempts[s] = struct{}{}
+}
+
+func (u *unbegun) remove(s *attempt) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.attempts, s)
+}
+
+// cancelBelow cancels the attempts at weights older than the given version of their
+// model.
+func (u *unbegun) cancelBelow(oldest map[string]uint64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for s := range u.attempts {
+		if s.chosen.Version < oldest[s.job.call.Prompt.Model] {
+			s.tooLate.Store(true)
+			s.cancel()
+			delete(u.attempts, s)
+		}
+	}
+}
+
+// CancelReplaced cancels the attempts that have not begun on weights on which no
+// request may begin any more, whether these were replaced before or after the request
+// was sent. Its caller calls it at short intervals.
+func (h *Handler) CancelReplaced(now time.Time) {
+	h.options.Lock.Lock()
+	oldest := h.options.Picker.MinBeginVersions(now)
+	h.options.Lock.Unlock()
+	if len(oldest) > 0 {
+		h.unbegun.cancelBelow(oldest)
+	}
+}
