Keep unary model requests that may have begun and may run only once

Seen: a client got 502 for a request whose weights were replaced while it ran, although it had begun in time. Cause: a request counted as begun with its response headers. Those of a stream come with its first token, at which a request starts to run; those of other responses come with their end. Class: signs of one kind of response taken for those of all. Change: attempts without a streamed response are cancelled only if the request may run again, so that another target answers it. One that may run once is kept; the choice of an engine that is expected to begin in time remains its only protection. Result: TestUnaryRequestThatMayHaveBegunIsKept failed before with 502, with the naming before and after the sending.

--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -306,7 +306,7 @@
 func (h *Handler) cancelUnbegun(s *attempt) func() {
 	h.unbegun.add(s)
 	j, stop := s.job, func() {}
-	if j.route.Idempotent() && j.ran+1 < max(j.route.Attempts, 1) {
+	if j.mayRunAgain() {
 		silent := time.AfterFunc(max(2*j.route.Objective, 3*s.chosen.Expected), s.cancel)
 		stop = func() { silent.Stop() }
 	}
--- a/internal/gate/proxy/replaced_test.go
+++ b/internal/gate/proxy/replaced_test.go
@@ -66,6 +66,30 @@
 	}
 }
 
+// TestUnaryRequestThatMayHaveBegunIsKept guards against errors for clients whose request
+// had begun in time: its headers arrive with its whole response, after the weights may no
+// longer begin requests.
+func TestUnaryRequestThatMayHaveBegunIsKept(t *testing.T) {
+	slow := func(rw http.ResponseWriter, r *http.Request, arrival int) {
+		select {
+		case <-time.After(2 * time.Second):
+			good(rw, r, arrival)
+		case <-r.Context().Done():
+		}
+	}
+	for when, named := range map[string]time.Duration{"named before": 0, "named while it runs": 250 * time.Millisecond} {
+		t.Run(when, func(t *testing.T) {
+			t.Parallel()
+			w := newFixture(t, []target{slow, slow}, func(o *proxy.Options) { nameAndLoad(t, o, named) })
+			w.maintain(t)
+			got := w.sendBody(t, "/once/x", "body", "Model", "m")
+			require.NoError(t, got.err)
+			assert.Equal(t, 200, got.status)
+			assert.Equal(t, 1, int(w.arrivals.Load()))
+		})
+	}
+}
+
 // nameAndLoad makes the targets serve version 1 until they load version 2 after 300 ms.
 // From the naming on requests may be sent to version 1 for 200 ms, and begin for 1 s
 // more.
--- a/internal/gate/proxy/unbegun.go
+++ b/internal/gate/proxy/unbegun.go
@@ -11,8 +11,17 @@
 	attempts map[*attempt]struct{}
 }
 
+// mayRunAgain reports whether another attempt is allowed if the next one runs.
+func (j *job) mayRunAgain() bool {
+	return j.route.Idempotent() && j.ran+1 < max(j.route.Attempts, 1)
+}
+
+// add adds an attempt of a model request. A request starts to run with its first token,
+// at which a stream's headers arrive; those of other responses arrive when it has ended.
+// Without headers such a request may have begun, so that it is added only if it may run
+// again.
 func (u *unbegun) add(s *attempt) {
-	if s.job.call.Prompt.Model == "" {
+	if s.job.call.Prompt.Model == "" || s.job.route.Kind != streamKind && !s.job.mayRunAgain() {
 		return
 	}
 	u.mu.Lock()
