Know of the store's return before the changes of other nodes

Would be seen: targets dropped although they live, and their requests blamed for a crash, when their entries had expired in an outage and another host told of that first. Cause: a node applied its upstream's changes before it told of the store's return. One whose own calls still failed applied the changes of others without telling at all. Class: changes applied before what they must be judged by is known. Change: rows of the upstream are fetched, then the return is told, then they are applied. A host keeps missing targets for the two seconds of the protocol also if a page is late, that is if it hadn't followed the table. A single failed call still counts as a return: the protocol sets no least length of an outage in which entries expire, and a live target that is dropped costs callers more than a dead one that is tried for two seconds.

--- a/internal/gate/feed/feed.go
+++ b/internal/gate/feed/feed.go
@@ -117,8 +117,9 @@
 	Upstream func(table string) (version uint64, age time.Duration, ok bool)
 	// HasChildren reports whether other nodes rely on this one. It may be nil.
 	HasChildren func() bool
-	// OnAvailable is called when the store answers again after an outage. It may be
-	// nil.
+	// OnAvailable is called when the store answers again after failed calls, before the
+	// changes are applied. It may be nil. A single failed call is enough, unlike for
+	// [Feed.Unavailable]: rows may have expired in an outage shorter than outageDelay.
 	OnAvailable func()
 	// Scope receives the metrics.
 	Scope tally.Scope
@@ -235,13 +236,17 @@
 	if !ok || age >= maxUpstreamAge {
 		return false
 	}
-	if version > f.Version() && !f.askPeers(ctx) {
-		return false
+	var changes Page
+	if version > f.Version() {
+		if changes, ok = f.fetchFromPeer(ctx); !ok {
+			return false
+		}
 	}
+	f.storeAnswered()
+	f.apply(changes)
 	f.mu.Lock()
 	f.listed = true
 	f.mu.Unlock()
-	f.storeAnswered()
 	select {
 	case <-ctx.Done():
 	case <-f.wake:
@@ -376,29 +381,40 @@
 // missedChanges reports whether this node did not watch the table until now.
 func (f *Feed) missedChanges() bool { return f.Version() == 0 || !f.failedSince.IsZero() }
 
-// askPeers applies the changes that another node returns and reports whether one
-// answered. It doesn't count as a confirmation by the store.
-func (f *Feed) askPeers(ctx context.Context) bool {
+// askPeers applies the changes that another node returns. It doesn't count as a
+// confirmation by the store.
+func (f *Feed) askPeers(ctx context.Context) {
+	if page, ok := f.fetchFromPeer(ctx); ok {
+		f.apply(page)
+	}
+}
+
+// fetchFromPeer returns the changes that another node has; false if none answered.
+func (f *Feed) fetchFromPeer(ctx context.Context) (Page, bool) {
 	if f.options.FetchFromPeer == nil {
-		return false
+		return Page{}, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	page, err := f.options.FetchFromPeer(ctx, f.options.Table, f.Version())
 	if err != nil {
 		f.options.Logger.Debug("failed to get rows from peers", "table", f.options.Table, "error", err)
-		return false
+		return Page{}, false
 	}
 	if len(page.Rows) > 0 {
 		f.options.Logger.Info("rows taken from a peer", "table", f.options.Table, "rows", len(page.Rows), "version", page.Version)
 	}
 	page.Late = f.missedChanges()
+	return page, true
+}
+
+// apply applies rows of another node.
+func (f *Feed) apply(page Page) {
 	if page.Whole {
 		f.reset(page)
 	} else {
 		f.change(page)
 	}
-	return true
 }
 
 func (f *Feed) storeFailed(err error) {
--- a/internal/gate/feed/outage_test.go
+++ b/internal/gate/feed/outage_test.go
@@ -123,3 +123,65 @@
 		})
 	}
 }
+
+// TestReturnIsKnownBeforeChangesOfPeers guards against targets that were dropped although
+// they lived: the removals of expired entries came from another node, before the owner
+// knew that the store had been away.
+func TestReturnIsKnownBeforeChangesOfPeers(t *testing.T) {
+	gone := page(4, feed.Row{Key: "b", Version: 4, Removed: true})
+	whole := page(4, row("a", 1))
+	whole.Whole = true
+	tests := map[string]struct {
+		changes feed.Page
+		// upstream is true if the other node is the upstream, whose copy is current.
+		upstream bool
+		want     []string
+	}{
+		"changes of the upstream":       {gone, true, []string{"reset ab", "regained", "late change b"}},
+		"the whole table of it":         {whole, true, []string{"reset ab", "regained", "late reset a"}},
+		"changes while the store fails": {gone, false, []string{"reset ab", "late change b"}},
+		"whole while the store fails":   {whole, false, []string{"reset ab", "late reset a"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				assert.Equal(t, test.want, callsWithPeer(t, test.changes, test.upstream))
+			})
+		})
+	}
+}
+
+// callsWithPeer returns the calls to the callbacks of a feed that has listed its table
+// and whose further calls fail, while after 300 ms another node has changes.
+func callsWithPeer(t *testing.T, changes feed.Page, isUpstream bool) (calls []string) {
+	t.Helper()
+	began := time.Now()
+	s := &source{lists: []answer{{page: page(3, row("a", 1), row("b", 2))}}, watches: []answer{{err: errUnavailable}}}
+	add := func(kind string, p feed.Page) {
+		if len(calls) > 0 && p.Late {
+			kind = "late " + kind
+		}
+		calls = append(calls, kind+" "+keys(p))
+	}
+	f := feed.New(feed.Options{
+		Table: "t", Source: s,
+		FetchFromPeer: func(_ context.Context, _ string, after uint64) (feed.Page, error) {
+			switch {
+			case time.Since(began) < 300*time.Millisecond:
+				return feed.Page{}, errUnavailable
+			case after >= changes.Version:
+				return page(changes.Version), nil
+			}
+			return changes, nil
+		},
+		Upstream: func(string) (uint64, time.Duration, bool) {
+			return changes.Version, 0, isUpstream && time.Since(began) > 300*time.Millisecond
+		},
+		Reset: func(p feed.Page) { add("reset", p) }, Change: func(p feed.Page) { add("change", p) },
+		OnAvailable: func() { calls = append(calls, "regained") }, Scope: tally.NoopScope, Logger: hclog.NewNullLogger(),
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	assert.Error(t, f.Serve(ctx))
+	return calls
+}
--- a/internal/gate/host/state.go
+++ b/internal/gate/host/state.go
@@ -161,6 +161,7 @@
 	for _, row := range page.Rows {
 		changes = append(changes, h.decodeTarget(now, row))
 	}
+	h.keepMissing(now, page)
 	h.mu.Lock()
 	h.roster.Reset(now, page.Version, changes)
 	h.mu.Unlock()
@@ -170,6 +171,7 @@
 
 func (h *Host) targetChange(page feed.Page) {
 	now := time.Now()
+	h.keepMissing(now, page)
 	for _, row := range page.Rows {
 		c := h.decodeTarget(now, row)
 		h.mu.Lock()
@@ -180,6 +182,18 @@
 	h.publishTargets()
 }
 
+// keepMissing keeps targets for a while whose entries a page removes, if this host had
+// not followed the table: the entries may have expired while the store was unavailable.
+// Dropping a live target would cost its capacity and blame its requests for a crash.
+func (h *Host) keepMissing(now time.Time, page feed.Page) {
+	if !page.Late || !h.targetsListed.Load() {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.roster.StoreRecovered(now)
+}
+
 func (h *Host) decodeTarget(now time.Time, row feed.Row) roster.Change {
 	c := h.platform.DecodeTarget(now, row)
 	switch {
