Test that attempts end while no target has the newer weights

Would be seen: a request that stays at a mute engine, or goes to the next one with replaced weights, when no target has loaded the named version yet. Cause: TestWaitingRequestsLeaveReplacedWeights always has a target to go to, and the whole request may rightly go on waiting for one for its objective (10.8 s in the test's configuration), so that its length tells nothing about the engine. Class: ends judged at the client that must be judged at the engine. Change: a test that measures when the engine loses the request, and that no other gets it.

--- a/internal/gate/proxy/replaced_test.go
+++ b/internal/gate/proxy/replaced_test.go
@@ -66,6 +66,29 @@
 	}
 }
 
+// TestAttemptsEndWithoutNewerWeights guards against requests that stay at a mute engine,
+// or are sent to another one with replaced weights, while no target has the newer
+// version yet.
+func TestAttemptsEndWithoutNewerWeights(t *testing.T) {
+	for _, path := range []string{"/stream/x", "/resume/x", "/safe/x"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			w := newFixture(t, []target{hanging, hanging}, func(o *proxy.Options) { nameWeights(t, o, 300*time.Millisecond) })
+			w.maintain(t)
+			began := time.Now()
+			go func() { _ = w.sendBody(t, path, "body", "Model", "m") }()
+			select {
+			case <-w.ended:
+				assert.Greater(t, time.Since(began), time.Second, "it may begin until 1.5 s")
+			case <-time.After(4 * time.Second):
+				assert.Fail(t, "the request is still at the engine")
+			}
+			time.Sleep(500 * time.Millisecond)
+			assert.Equal(t, 1, int(w.arrivals.Load()))
+		})
+	}
+}
+
 // TestUnaryRequestThatMayHaveBegunIsKept guards against errors for clients whose request
 // had begun in time: its headers arrive with its whole response, after the weights may no
 // longer begin requests.
@@ -90,31 +113,39 @@
 	}
 }
 
-// nameAndLoad makes the targets serve version 1 until they load version 2 after 300 ms.
-// From the naming on requests may be sent to version 1 for 200 ms, and begin for 1 s
-// more.
+// nameAndLoad is nameWeights with targets that load version 2 after 300 ms.
 func nameAndLoad(t *testing.T, o *proxy.Options, named time.Duration) {
 	t.Helper()
-	at := func(after time.Duration, act func()) {
-		timer := time.AfterFunc(after, func() {
-			o.Lock.Lock()
-			defer o.Lock.Unlock()
-			act()
-		})
-		t.Cleanup(func() { timer.Stop() })
-	}
-	name := func() {
-		o.Picker.Announce(time.Now(), "m", pick.AnnouncedVersion{Version: 2, Age: 10 * time.Second})
-	}
+	nameWeights(t, o, named)
+	after(t, o, 300*time.Millisecond, func() { recordVersion(o, 2) })
+}
+
+// nameWeights makes the targets serve version 1, and names version 2 after a while.
+// From then on requests may be sent to version 1 for 200 ms, and begin for 1 s more.
+func nameWeights(t *testing.T, o *proxy.Options, named time.Duration) {
+	t.Helper()
 	recordVersion(o, 1)
 	o.Picker.Announce(time.Now(), "m", pick.AnnouncedVersion{Version: 1, Age: time.Minute})
 	o.Picker.SetMaxReplacedAge(time.Now(), 10200*time.Millisecond)
+	name := func() {
+		o.Picker.Announce(time.Now(), "m", pick.AnnouncedVersion{Version: 2, Age: 10 * time.Second})
+	}
 	if named == 0 {
 		name()
-	} else {
-		at(named, name)
+		return
 	}
-	at(300*time.Millisecond, func() { recordVersion(o, 2) })
+	after(t, o, named, name)
+}
+
+// after runs a function with the lock held after a while, unless the test has ended.
+func after(t *testing.T, o *proxy.Options, pause time.Duration, act func()) {
+	t.Helper()
+	timer := time.AfterFunc(pause, func() {
+		o.Lock.Lock()
+		defer o.Lock.Unlock()
+		act()
+	})
+	t.Cleanup(func() { timer.Stop() })
 }
 
 // slowEvents begins to answer at once and sends its event after the bound.
