Take only a refused connection for the crash of an engine

Callers of sound requests could be refused: an engine that is full resets connections beyond its limit, and that counted as a crash, as did a lack of descriptors or of a route. A bad part could go on: an engine whose listener ends after its connections was found alive, so that its crash was known 3 s late, from the list of targets. Change: only ECONNREFUSED counts; a target that may have crashed because of a request is asked up to three times within 70 ms.

--- a/internal/gate/deadly/deadly.go
+++ b/internal/gate/deadly/deadly.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -27,6 +28,10 @@
 	maxReports = 1024
 )
 
+// probePauses are the pauses before the connection attempts to a target whose
+// connection broke.
+var probePauses = []time.Duration{0, 20 * time.Millisecond, 50 * time.Millisecond}
+
 // Options configures a [Detector].
 type Options struct {
 	// Self is the name of this node.
@@ -111,24 +116,38 @@
 	d.mu.Lock()
 	d.counter.ConnectionBroke(time.Now(), request, target.ID, headers)
 	d.mu.Unlock()
-	if !d.refusesConnections(ctx, target.Address) {
+	if !d.refusesConnections(ctx, target.Address, headers) {
 		return false
 	}
 	d.TargetCrashed(time.Now(), target.ID)
 	return true
 }
 
-func (d *Detector) refusesConnections(ctx context.Context, address string) bool {
+// refusesConnections reports whether nothing listens at an address. A full target
+// resets connections, which proves nothing. If the target may have crashed because of
+// the request, it is asked several times, since its connections may end before its
+// listener.
+func (d *Detector) refusesConnections(ctx context.Context, address string, again bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	conn, err := d.options.Dial(ctx, "tcp", address)
-	if err == nil {
-		_ = conn.Close()
-		return false
+	for _, pause := range probePauses {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(pause):
+		}
+		conn, err := d.options.Dial(ctx, "tcp", address)
+		switch {
+		case err == nil:
+			_ = conn.Close()
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return true
+		}
+		if !again {
+			return false
+		}
 	}
-	var netError net.Error
-	timedOut := errors.As(err, &netError) && netError.Timeout()
-	return !timedOut && ctx.Err() == nil
+	return false
 }
 
 // TargetCrashed records that a target has crashed, against the requests that broke on
