Pass on crashes that other hosts have seen

Callers could lose answers of engines which crash on a part that most hosts refuse: a host passed on the crashes that it saw itself, or its children. A host that can't reach the witness needed two crashes of its own. Change: a host passes on every crash and survival that is new to it, outside of the lock of the routing state. Result: TestNodesShareCrashes, over a host in the middle, fails on the code before and passes.

--- a/internal/gate/deadly/deadly.go
+++ b/internal/gate/deadly/deadly.go
@@ -156,7 +156,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	crashes, survivals := d.counter.TargetCrashed(now, target)
-	d.record(now, oplog.Origin{}, crashes, survivals)
+	d.record(now, crashes, survivals)
 	for _, c := range crashes {
 		d.options.Scope.Counter("crash_suspects").Inc(1)
 		d.options.Logger.Info("request broke on a crashed target", "digest", c.Request, "parts", c.Parts, "target", c.Target, "headers", c.Began, "ageMs", c.Age.Milliseconds())
@@ -169,28 +169,29 @@
 func (d *Detector) Answered(now, begunAt time.Time, request poison.Request) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.record(now, oplog.Origin{}, nil, d.counter.Answered(now, begunAt, request))
+	d.record(now, nil, d.counter.Answered(now, begunAt, request))
 }
 
 // Merge applies another node's crashes and survivals.
-func (d *Detector) Merge(now time.Time, from oplog.Origin, crashes []poison.Crash, survivals []poison.Survival) {
+func (d *Detector) Merge(now time.Time, crashes []poison.Crash, survivals []poison.Survival) {
 	if len(crashes) == 0 && len(survivals) == 0 {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	newCrashes, newSurvivals := d.counter.Merge(now, crashes, survivals)
-	d.record(now, from, newCrashes, newSurvivals)
+	d.record(now, newCrashes, newSurvivals)
 	d.logRefused(now)
 }
 
-// record adds crashes and survivals to the log for other nodes.
-func (d *Detector) record(now time.Time, from oplog.Origin, crashes []poison.Crash, survivals []poison.Survival) {
+// record adds crashes and survivals to the log for other nodes. What was new to this
+// node may be so to any other: not all reach each other.
+func (d *Detector) record(now time.Time, crashes []poison.Crash, survivals []poison.Survival) {
 	for _, c := range crashes {
-		d.reports.Add(from, report{crash: &c, at: now.Add(-c.Age)})
+		d.reports.Add(oplog.Origin{}, report{crash: &c, at: now.Add(-c.Age)})
 	}
 	for _, s := range survivals {
-		d.reports.Add(from, report{survival: &s, at: now.Add(-s.Age)})
+		d.reports.Add(oplog.Origin{}, report{survival: &s, at: now.Add(-s.Age)})
 	}
 }
 
--- a/internal/gate/deadly/deadly_test.go
+++ b/internal/gate/deadly/deadly_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"syscall"
 	"testing"
@@ -14,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/cicadamill/cicadamill/internal/gate/deadly"
+	"github.com/cicadamill/cicadamill/internal/gate/oplog"
 	"github.com/cicadamill/cicadamill/internal/gate/roster"
 	"github.com/cicadamill/cicadamill/internal/safety/poison"
 )
@@ -75,3 +77,48 @@
 		})
 	}
 }
+
+// crash lets a request break on a target that crashed.
+func crash(t *testing.T, d *deadly.Detector, digest uint64, target string) {
+	t.Helper()
+	assert.True(t, d.Broke(t.Context(), poison.Request{Digest: digest, Parts: []uint64{10, 20}}, roster.Target{ID: target}, true))
+}
+
+// TestNodesShareCrashes guards against hosts that send what others refuse, also those
+// that hear of it over a third one.
+func TestNodesShareCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := map[string]*deadly.Detector{}
+		for _, name := range []string{"a", "b", "c"} {
+			nodes[name] = newDetector(name, (&dialer{}).dial)
+		}
+		bad := poison.Request{Digest: 99, Parts: []uint64{11, 20}}
+		positions := map[string]uint64{}
+		exchange := func(from, to string) {
+			after, known := positions[from+to]
+			if !known {
+				after = oplog.FromNow
+			}
+			crashes, survivals, next := nodes[from].Since(time.Now(), oplog.Recipient{Node: to}, after)
+			positions[from+to] = next
+			nodes[to].Merge(time.Now(), crashes, survivals)
+		}
+		for i := range 2 {
+			nodes["a"].Answered(time.Now(), time.Now(), poison.Request{Digest: 5, Parts: []uint64{10}})
+			crash(t, nodes["a"], uint64(i), fmt.Sprint("e", i))
+			exchange("a", "b")
+			exchange("b", "c")
+			time.Sleep(time.Second)
+			nodes["a"].Answered(time.Now(), time.Now(), poison.Request{Digest: 6, Parts: []uint64{10}})
+		}
+		for name, d := range nodes {
+			assert.True(t, d.Refused(time.Now(), bad), name)
+		}
+		nodes["c"].Answered(time.Now(), time.Now(), bad)
+		exchange("c", "b")
+		exchange("b", "a")
+		for name, d := range nodes {
+			assert.False(t, d.Refused(time.Now(), bad), "%s knows of the survivor", name)
+		}
+	})
+}
--- a/internal/gate/host/state.go
+++ b/internal/gate/host/state.go
@@ -377,8 +377,8 @@
 	m.Superseded = h.picker.Superseded(now, supersededBounds*h.bounds.Load().NewWeights)
 	updates, next := h.positionUpdates.Since(after.Positions, to)
 	m.Next.Positions = next
-	m.Crashes, m.Survivals, m.Next.Crashes = h.deadly.Since(now, to, after.Crashes)
 	h.mu.Unlock()
+	m.Crashes, m.Survivals, m.Next.Crashes = h.deadly.Since(now, to, after.Crashes)
 	for _, r := range updates {
 		if m.Positions == nil {
 			m.Positions = map[string]caches.Position{}
@@ -433,12 +433,12 @@
 	} else {
 		h.picker.ApplyReportWithoutLoad(now, from, m.Report)
 	}
-	h.deadly.Merge(now, from, m.Crashes, m.Survivals)
 	for name, at := range m.Positions {
 		h.cachePositions[name] = at
 		h.positionUpdates.Add(from, positionUpdate{cache: name, at: at})
 	}
 	h.mu.Unlock()
+	h.deadly.Merge(now, m.Crashes, m.Survivals)
 	for model, announced := range m.Wanted {
 		h.announceWeights(model, announced)
 	}
