Count the beginning of an answer from its first event

Callers could lose answers of engines that crash more than 200 ms after they began to answer: the crash wasn't counted, the request was sent to a second engine, and an event at that time cleared the part. The time was also taken after logging and waiting. Change: without an event an answer has not outlived its beginning, however late; with one it has 200 ms later, as of the end of the read.

--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -195,6 +195,7 @@
 	}
 	j.sent++
 	r := h.exchange(ctx, client, w, s, timeLeft)
+	ended := time.Now()
 	if _, clean := r.(notRun); !clean && s.guard.Sent() {
 		j.ran++
 	}
@@ -204,7 +205,7 @@
 	h.logAttempt(s, r)
 	switch r := r.(type) {
 	case broken:
-		r.crashed = h.mayHaveCrashed(client, s, r)
+		r.crashed = h.mayHaveCrashed(client, s, r, ended)
 		return r
 	case done:
 		h.recordSurvival(s)
--- a/internal/gate/proxy/deadly.go
+++ b/internal/gate/proxy/deadly.go
@@ -14,8 +14,8 @@
 	// crashRetryAfter is the Retry-After of a request that is refused because requests
 	// like it crash targets. It leaves time to find out whether that is still so.
 	crashRetryAfter = 30 * time.Second
-	// beginning is how long after the response headers a target may still crash because
-	// of the request.
+	// beginning is how long after the first event of an answer a target may still crash
+	// because of the request.
 	beginning = 200 * time.Millisecond
 )
 
@@ -44,14 +44,20 @@
 // mayHaveCrashed records that an attempt broke as its target began to answer, and
 // reports whether the target has crashed. Only requests whose answer had begun may be
 // the cause; the others had not run yet.
-func (h *Handler) mayHaveCrashed(client context.Context, s *attempt, b broken) bool {
+func (h *Handler) mayHaveCrashed(client context.Context, s *attempt, b broken, ended time.Time) bool {
 	headers := !s.headersAt.IsZero()
-	if !b.connLost || headers && time.Since(s.headersAt) > beginning {
+	if !b.connLost || s.outlivedBeginning(ended) {
 		return false
 	}
 	return h.options.Deadly.Broke(context.WithoutCancel(client), s.job.features, s.chosen.Target, headers) && headers
 }
 
+// outlivedBeginning reports whether the target was still there some time after the
+// first event.
+func (s *attempt) outlivedBeginning(now time.Time) bool {
+	return s.first > 0 && now.Sub(s.began.Add(s.first)) > beginning
+}
+
 // recordSurvival records that the target outlived the beginning of its answer.
 func (h *Handler) recordSurvival(s *attempt) {
 	if s.survived {
--- a/internal/gate/proxy/response.go
+++ b/internal/gate/proxy/response.go
@@ -112,12 +112,12 @@
 		if err != nil {
 			return h.endStream(client, w, s, response, err)
 		}
+		if s.outlivedBeginning(time.Now()) {
+			h.recordSurvival(s)
+		}
 		if s.first == 0 {
 			h.firstEvent(s)
 		}
-		if time.Since(s.headersAt) > beginning {
-			h.recordSurvival(s)
-		}
 		if err := h.forwardEvent(w, s, response, next); err != nil {
 			return clientGone{}
 		}
