Take weights named after an outage to be new

Callers would see every engine with older weights refuse right after an outage of the store: weights named as the store returned were taken to be as old as the outage.

Cause: rows that a feed reads after failed calls are late, so their age was bounded by the last mark of the store, which is from before the outage. Class: time in which nothing can be named counted as age. Change: after an outage that the feed saw itself (calls failed for a second) rows are not late; they are as old as the last failed call at most. Other hosts' and stored ages still raise that. After a restart, a lost history, a short failure, or a stall of the process during the failed calls they are late as before.

What remains: a naming that no other host saw or stored, made while this host alone could not reach the store, is taken to be as old as this host's last failed call.

--- a/internal/gate/feed/feed.go
+++ b/internal/gate/feed/feed.go
@@ -42,6 +42,9 @@
 	// Late is true when the rows may have been written long before, since this node
 	// did not watch the table meanwhile.
 	Late bool `json:"-"`
+	// Unwatched is how long before now rows that aren't late may have been written,
+	// beyond the time that an answer takes.
+	Unwatched time.Duration `json:"-"`
 }
 
 // Source reads tables from the store.
@@ -120,6 +123,9 @@
 	// OnAvailable is called when the store answers again after an outage. It may be
 	// nil.
 	OnAvailable func()
+	// Stalled reports whether this process has just not run for a while, so that a
+	// call may have failed without an outage. It may be nil.
+	Stalled func() bool
 	// Scope receives the metrics.
 	Scope tally.Scope
 	// Logger logs when the store becomes unavailable and available again.
@@ -144,6 +150,10 @@
 	// failedSince is when the first of the failed calls in succession ended; zero
 	// after a successful one.
 	failedSince time.Time
+	// failedCallAt is when the last failed call began.
+	failedCallAt time.Time
+	// stalled is true if the process stalled since the last successful call.
+	stalled     bool
 	unavailable atomic.Bool
 	// wake ends the wait for the upstream node.
 	wake chan struct{}
@@ -197,13 +207,14 @@
 		if f.followUpstream(ctx) {
 			continue
 		}
+		began := time.Now()
 		changed, err := f.step(ctx)
 		if ctx.Err() != nil {
 			break
 		}
 		pause := time.Duration(0)
 		if err != nil {
-			f.storeFailed(err)
+			f.storeFailed(began, err)
 			f.askPeers(ctx)
 			pause = backoff/2 + rand.N(backoff)
 			backoff = min(2*backoff, maxBackoff)
@@ -303,7 +314,7 @@
 	if err != nil {
 		return false, err
 	}
-	page.Late = f.missedChanges()
+	page.Late, page.Unwatched = f.missedChanges(), f.unwatched()
 	f.storeAnswered()
 	f.change(page)
 	f.confirm()
@@ -373,8 +384,21 @@
 	}
 }
 
-// missedChanges reports whether this node did not watch the table until now.
-func (f *Feed) missedChanges() bool { return f.Version() == 0 || !f.failedSince.IsZero() }
+// missedChanges reports whether this node did not watch the table until now, for
+// another reason than an outage.
+func (f *Feed) missedChanges() bool {
+	outage := f.Unavailable() && !f.stalled
+	return f.Version() == 0 || !f.failedSince.IsZero() && !outage
+}
+
+// unwatched returns for how long this node did not watch the table until now.
+func (f *Feed) unwatched() time.Duration {
+	if f.Unavailable() {
+		// Nobody can write during an outage: rows are newer than the last failed call.
+		return time.Since(f.failedCallAt)
+	}
+	return 0
+}
 
 // askPeers applies the changes that another node returns and reports whether one
 // answered. It doesn't count as a confirmation by the store.
@@ -401,7 +425,9 @@
 	return true
 }
 
-func (f *Feed) storeFailed(err error) {
+func (f *Feed) storeFailed(began time.Time, err error) {
+	f.failedCallAt = began
+	f.stalled = f.stalled || f.options.Stalled != nil && f.options.Stalled()
 	f.options.Scope.Counter("feed_failures").Inc(1)
 	if f.failedSince.IsZero() {
 		f.failedSince = time.Now()
@@ -417,7 +443,7 @@
 		return
 	}
 	f.options.Logger.Info("store regained", "table", f.options.Table, "version", f.Version(), "awayMs", time.Since(f.failedSince).Milliseconds())
-	f.failedSince = time.Time{}
+	f.failedSince, f.stalled = time.Time{}, false
 	f.unavailable.Store(false)
 	if f.options.OnAvailable != nil {
 		f.options.OnAvailable()
--- /dev/null
+++ b/internal/gate/host/age_test.go
@@ -0,0 +1,155 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/assert"
+
+	"github.com/cicadamill/cicadamill/internal/gate/feed"
+	"github.com/cicadamill/cicadamill/internal/infra/table"
+	"github.com/cicadamill/cicadamill/internal/watch/spool"
+)
+
+var errDown = errors.New("down")
+
+// downStore is a clockStore that can be down.
+type downStore struct {
+	*clockStore
+	down atomic.Bool
+	// onList is called at the start of each list; it may be nil.
+	onList func()
+}
+
+func newDownStore() *downStore { return &downStore{clockStore: newClockStore()} }
+
+func (s *downStore) List(ctx context.Context, name string) (feed.Page, error) {
+	if s.onList != nil {
+		s.onList()
+	}
+	if s.down.Load() {
+		return feed.Page{}, errDown
+	}
+	return s.clockStore.List(ctx, name)
+}
+
+func (s *downStore) Watch(ctx context.Context, name string, after uint64, wait time.Duration) (feed.Page, error) {
+	if s.down.Load() {
+		return feed.Page{}, errDown
+	}
+	page, err := s.clockStore.Watch(ctx, name, after, wait)
+	if s.down.Load() {
+		return feed.Page{}, errDown
+	}
+	return page, err
+}
+
+// downRows gives access to the own table of a downStore.
+type downRows struct {
+	clockRows
+	s *downStore
+}
+
+func (r downRows) Get(ctx context.Context, key string) (table.Row, error) {
+	if r.s.down.Load() {
+		return table.Row{}, &table.OutageError{Message: "down"}
+	}
+	return r.clockRows.Get(ctx, key)
+}
+
+func (r downRows) Commit(ctx context.Context, txn table.Txn) error {
+	if r.s.down.Load() {
+		return &table.OutageError{Message: "down"}
+	}
+	return r.clockRows.Commit(ctx, txn)
+}
+
+// newHostOf returns a host of a store that isn't running.
+func newHostOf(s *downStore) *Host {
+	var failing atomic.Bool
+	return New(Settings{Name: "a", DataCentre: "east", Bounds: Bounds{NewWeights: 12 * time.Second, Lease: 3 * time.Second}},
+		Platform{
+			Source: s, Table: downRows{clockRows: rowsOf(s.clockStore, &failing), s: s}, Engines: noEngines{}, Now: s.now,
+			OwnTable: "own", OperatorTable: "op", TargetTable: "servers",
+			DecodeOperator: func(row feed.Row) (OperatorChange, error) {
+				version, err := strconv.ParseUint(string(row.Value), 10, 64)
+				return WeightsChange{Model: "m", Version: version}, err
+			},
+		}, hclog.NewNullLogger(), spool.New(nil))
+}
+
+// runHost runs the parts of a host that learn of announced weights until the returned
+// function is called.
+func runHost(t *testing.T, h *Host) func() {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	parts := []func(context.Context) error{h.feeds["op"].Serve, h.register, h.runAnnouncements, h.maintain, h.orders.Serve}
+	ended := make(chan error, len(parts))
+	for _, part := range parts {
+		go func(ctx context.Context) { ended <- part(ctx) }(ctx)
+	}
+	return func() {
+		cancel()
+		for range parts {
+			<-ended
+		}
+		_ = h.meter.Close()
+	}
+}
+
+// TestNamingRightAfterAnOutageIsNew guards against requests refused by every engine:
+// weights named as the store returned were taken to be as old as its outage.
+func TestNamingRightAfterAnOutageIsNew(t *testing.T) {
+	tests := map[string]struct{ outage time.Duration }{
+		"shorter than the bound": {4500 * time.Millisecond},
+		"longer than the bound":  {15 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newDownStore()
+				s.put("op", "version/m", []byte("1"), true)
+				h := newHostOf(s)
+				defer runHost(t, h)()
+				time.Sleep(20 * time.Second)
+				s.down.Store(true)
+				time.Sleep(test.outage)
+				s.down.Store(false)
+				s.put("op", "version/m", []byte("2"), true)
+				named := s.now()
+				time.Sleep(3 * time.Second)
+				age := s.now().Sub(named)
+				assert.LessOrEqual(t, ageOf(t, h, 2), age+leaseSlack)
+				assert.GreaterOrEqual(t, ageOf(t, h, 2), age-200*time.Millisecond)
+			})
+		})
+	}
+}
+
+// TestNamingMissedBeforeAnOutageIsOld guards against replaced weights that answered
+// after the operators' bound: a host suspended during a naming took it to be new if the
+// store was away when it resumed.
+func TestNamingMissedBeforeAnOutageIsOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newDownStore()
+		s.put("op", "version/m", []byte("1"), true)
+		h := newHostOf(s)
+		defer runHost(t, h)()
+		time.Sleep(20 * time.Second)
+		s.put("op", "version/m", []byte("2"), false)
+		named := s.now()
+		s.down.Store(true)
+		s.suspend(7 * time.Second)
+		s.put("op", "other", []byte("x"), true)
+		time.Sleep(2500 * time.Millisecond)
+		s.down.Store(false)
+		time.Sleep(3 * time.Second)
+		assert.GreaterOrEqual(t, ageOf(t, h, 2), s.now().Sub(named))
+	})
+}
--- a/internal/gate/host/host.go
+++ b/internal/gate/host/host.go
@@ -220,7 +220,7 @@
 func (h *Host) addFeed(name string, reset, change func(feed.Page), onAvailable func()) {
 	h.feeds[name] = feed.New(feed.Options{
 		Table: name, Source: h.platform.Source, FetchFromPeer: h.peers.FetchRows, Reset: reset, Change: change, OnAvailable: onAvailable,
-		Upstream: h.upstream, HasChildren: h.peers.HasChildren,
+		Upstream: h.upstream, HasChildren: h.peers.HasChildren, Stalled: h.observeClocks,
 		Scope: h.meter.Scope(), Logger: h.logger,
 	})
 }
