Discard ages computed across a slow read of the rows

Callers would see every engine refuse that has older weights: a host that was suspended while it read the gateway's rows took all weights to be older by that time. Larger ages win, so it spread to all hosts and into the store.

Cause: a stored time is converted with the host's clock at the start of the read and the store's at its end; only the writer checked the time between the two. Class: two clocks read apart. Change: a reading over maxClockDelay gives no ages and is repeated after registerRetry. Its host rows are still used and a new host still writes its own, so that hosts find each other while the store is slow. Result: TestSlowReadAgesNoNaming failed before (reader: the reading counted; holder: 15 s instead of 8 s) and passes.

--- a/internal/gate/host/age_test.go
+++ b/internal/gate/host/age_test.go
@@ -11,8 +11,10 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/cicadamill/cicadamill/internal/gate/feed"
+	"github.com/cicadamill/cicadamill/internal/gate/pick"
 	"github.com/cicadamill/cicadamill/internal/infra/table"
 	"github.com/cicadamill/cicadamill/internal/watch/spool"
 )
@@ -153,3 +155,66 @@
 		assert.GreaterOrEqual(t, ageOf(t, h, 2), s.now().Sub(named))
 	})
 }
+
+// TestSlowReadAgesNoNaming guards against requests refused by every engine: a host
+// suspended while it read the rows took all weights to be older by that time, for
+// good, and stored that.
+func TestSlowReadAgesNoNaming(t *testing.T) {
+	tests := map[string]func(t *testing.T, s *downStore, seen *Host) *Host{
+		"reader": func(t *testing.T, s *downStore, _ *Host) *Host {
+			reader := newHostOf(s)
+			reader.observeClocks()
+			reader.announceWeights("m", pick.AnnouncedVersion{Version: 2})
+			time.Sleep(2 * time.Second)
+			s.onList = func() { s.suspend(7 * time.Second); s.onList = nil }
+			require.Error(t, reader.readRows(t.Context()))
+			return reader
+		},
+		"holder that stores a later version": func(t *testing.T, s *downStore, seen *Host) *Host {
+			time.Sleep(time.Second)
+			seen.announceWeights("m", pick.AnnouncedVersion{Version: 3})
+			s.onList = func() { s.suspend(7 * time.Second); s.onList = nil }
+			for seen.storeAnnouncements(t.Context(), "m") != nil {
+				time.Sleep(orderInterval)
+			}
+			reader := newHostOf(s)
+			require.NoError(t, reader.readRows(t.Context()))
+			return reader
+		},
+	}
+	for name, read := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newDownStore()
+				holder := newHostOf(s)
+				defer func() { _ = holder.meter.Close() }()
+				time.Sleep(20 * time.Second)
+				holder.observeClocks()
+				holder.announceWeights("m", pick.AnnouncedVersion{Version: 2})
+				named := s.now()
+				require.NoError(t, holder.storeAnnouncements(t.Context(), "m"))
+				reader := read(t, s, holder)
+				defer func() { _ = reader.meter.Close() }()
+				age := s.now().Sub(named)
+				assert.LessOrEqual(t, ageOf(t, reader, 2), age+maxClockDelay)
+				require.NoError(t, reader.readRows(t.Context()), "the next reading counts")
+				assert.GreaterOrEqual(t, ageOf(t, reader, 2), age)
+			})
+		})
+	}
+}
+
+// TestSlowReadFindsHosts guards against hosts that don't find each other while the
+// store is slow.
+func TestSlowReadFindsHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newDownStore()
+		h := newHostOf(s)
+		defer func() { _ = h.meter.Close() }()
+		s.put("own", "hosts/b", []byte(`{"address":"127.0.0.1:1","strength":9}`), true)
+		s.onList = func() { time.Sleep(2 * maxClockDelay) }
+		before := h.peers.Nodes()
+		require.Error(t, h.readRows(t.Context()))
+		assert.Equal(t, before+1, h.peers.Nodes())
+	})
+}
--- a/internal/gate/host/announce.go
+++ b/internal/gate/host/announce.go
@@ -6,8 +6,6 @@
 	"maps"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/cicadamill/cicadamill/internal/gate/pick"
 	"github.com/cicadamill/cicadamill/internal/infra/mark"
 )
@@ -18,8 +16,8 @@
 	announcedPrefix = "named/"
 	// maxAnnouncements bounds the announcements stored per model.
 	maxAnnouncements = 8
-	// maxClockDelay is how long after the ages of announcements the store's clock may
-	// be read. A slow store takes a quarter of a second.
+	// maxClockDelay is how long after the ages of announcements, or the host's clock,
+	// the store's clock may be read. A slow store takes a quarter of a second.
 	maxClockDelay = 400 * time.Millisecond
 )
 
@@ -46,6 +44,23 @@
 // It is too early by at most the time that the read took, also across a suspension.
 func (r clockReading) hostTime(at time.Duration) time.Time { return r.began.Add(at - r.clock) }
 
+// slowClockError means that the store's clock was read too long after the host's, as
+// across a suspension, so that no age may be computed from the two.
+type slowClockError struct{ Took time.Duration }
+
+// Error implements the error interface.
+func (e *slowClockError) Error() string {
+	return "reading the store's clock took " + e.Took.String()
+}
+
+// checkClockDelay checks a reading of the store's clock that ends now.
+func (h *Host) checkClockDelay(began time.Time) error {
+	if took := h.platform.Now().Sub(began); took > maxClockDelay {
+		return &slowClockError{Took: took}
+	}
+	return nil
+}
+
 // modelVersion is a version of a model's weights.
 type modelVersion struct {
 	model   string
@@ -142,8 +157,8 @@
 	if err != nil {
 		return err
 	}
-	if took := h.platform.Now().Sub(began); took > maxClockDelay {
-		return errors.Errorf("the store's clock was read %s after the ages", took)
+	if err := h.checkClockDelay(began); err != nil {
+		return err
 	}
 	var row announcementRow
 	for _, announced := range known {
--- a/internal/gate/host/rows.go
+++ b/internal/gate/host/rows.go
@@ -1,12 +1,15 @@
 package host
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"strings"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/cicadamill/cicadamill/internal/gate/feed"
 	"github.com/cicadamill/cicadamill/internal/gate/tree"
 	"github.com/cicadamill/cicadamill/internal/infra/mark"
@@ -42,9 +45,11 @@
 	written := h.settings.Peer == ""
 	for {
 		err := h.readRows(ctx)
-		if err == nil && !written {
-			err = h.writeHostRow(ctx)
-			written = err == nil
+		var slow *slowClockError
+		if !written && (err == nil || errors.As(err, &slow)) {
+			writeErr := h.writeHostRow(ctx)
+			written = writeErr == nil
+			err = cmp.Or(writeErr, err)
 		}
 		pause := registerInterval/2 + rand.N(registerInterval/2)
 		if err != nil {
@@ -90,7 +95,7 @@
 }
 
 // readRows reads the gateway's own table: the hosts and the announcement times of
-// weights.
+// weights. If the read was slow, it uses the hosts only and returns an error.
 func (h *Host) readRows(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
@@ -101,15 +106,21 @@
 		return err
 	}
 	clock.clock = page.Clock
+	slow := h.checkClockDelay(clock.began)
 	var marks mark.History
 	for _, row := range page.Rows {
+		if slow != nil && !strings.HasPrefix(row.Key, hostPrefix) {
+			continue
+		}
 		if err := h.readRow(clock, row, &marks); err != nil {
 			h.meter.Scope().Counter("rows_unreadable").Inc(1)
 			h.logger.Warn("failed to decode row", "key", row.Key, "version", row.Version, "error", err)
 		}
 	}
-	h.boundAges(clock, marks, unknown)
-	return nil
+	if slow == nil {
+		h.boundAges(clock, marks, unknown)
+	}
+	return slow
 }
 
 func (h *Host) readRow(clock clockReading, row feed.Row, marks *mark.History) (err error) {
