Don't store the time of a version whose age is unknown

Callers would see answers from replaced weights after the operators' bound: a version that the holder of the order lease learned late, while it read the rows to store another one, was stored as new. All hosts then ignored the bound of its age.

Cause: the versions to store were taken after the read, the late ones before it. Class: a value used between its first and its corrected state. Change: a version counts as late before it is announced; such versions aren't stored until the rows have been read again, unless their time is in the store already.

--- a/internal/gate/host/age_test.go
+++ b/internal/gate/host/age_test.go
@@ -218,3 +218,35 @@
 		assert.Equal(t, before+1, h.peers.Nodes())
 	})
 }
+
+// TestUnknownAgeIsNotStored guards against replaced weights that answered after the
+// operators' bound: a version learned late while the holder read the rows was stored
+// as new, and the bound of its age was ignored then.
+func TestUnknownAgeIsNotStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newDownStore()
+		s.put("op", "version/m", []byte("1"), true)
+		h := newHostOf(s)
+		stop := runHost(t, h)
+		time.Sleep(8 * time.Second)
+		stop()
+		s.put("op", "version/m", []byte("2"), true)
+		named, version := s.now(), s.version
+		time.Sleep(7 * time.Second)
+		late := newHostOf(s)
+		defer func() { _ = late.meter.Close() }()
+		late.announceWeights("m", pick.AnnouncedVersion{Version: 1, Age: 15 * time.Second})
+		s.onList = func() {
+			s.onList = nil
+			late.operatorRows(feed.Page{Version: version, Late: true, Rows: []feed.Row{{Key: "version/m", Value: []byte("2"), Version: version}}})
+		}
+		require.NoError(t, late.storeAnnouncements(t.Context(), "m"), "because of version 1")
+		require.NoError(t, late.readRows(t.Context()))
+		require.NoError(t, late.storeAnnouncements(t.Context(), "m"), "because of version 2")
+		assert.GreaterOrEqual(t, ageOf(t, late, 2), s.now().Sub(named))
+		reader := newHostOf(s)
+		defer func() { _ = reader.meter.Close() }()
+		require.NoError(t, reader.readRows(t.Context()))
+		assert.GreaterOrEqual(t, ageOf(t, reader, 2), s.now().Sub(named))
+	})
+}
--- a/internal/gate/host/announce.go
+++ b/internal/gate/host/announce.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cicadamill/cicadamill/internal/gate/pick"
@@ -152,7 +153,7 @@
 		return err
 	}
 	began := h.platform.Now()
-	known := h.announcements(model)
+	known := h.announcementsOfKnownAge(model)
 	page, err := h.platform.Source.List(ctx, h.platform.OwnTable)
 	if err != nil {
 		return err
@@ -172,6 +173,19 @@
 	return h.put(ctx, announcedPrefix+model, value)
 }
 
+// announcementsOfKnownAge returns the announcements of a model whose times can be
+// stored. A version that this host learned of late waits for the next read of the rows.
+func (h *Host) announcementsOfKnownAge(model string) []pick.AnnouncedVersion {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.DeleteFunc(h.picker.Announced(time.Now(), model), func(a pick.AnnouncedVersion) bool {
+		n := modelVersion{model, a.Version}
+		_, unknown := h.unknownAges[n]
+		_, stored := h.storedAges[n]
+		return unknown && !stored
+	})
+}
+
 func (h *Host) announcements(model string) []pick.AnnouncedVersion {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -200,7 +214,9 @@
 				h.logger.Info("failed to store announcement times", "model", model, "weights", version, "error", err)
 				continue
 			}
-			written[model] = version
+			if _, unknown := h.announcementsOfUnknownAge()[modelVersion{model, version}]; !unknown {
+				written[model] = version
+			}
 		}
 	}
 }
--- a/internal/gate/host/state.go
+++ b/internal/gate/host/state.go
@@ -97,10 +97,10 @@
 		case PlanChange:
 			h.applyPlan(n)
 		case WeightsChange:
-			h.announceWeights(n.Model, pick.AnnouncedVersion{Version: n.Version, Age: page.Unwatched})
 			if late {
 				h.announceLate(n, row.Version)
 			}
+			h.announceWeights(n.Model, pick.AnnouncedVersion{Version: n.Version, Age: page.Unwatched})
 		}
 	}
 }
