Age namings older than all marks by the oldest mark

Callers would see answers from replaced weights after the operators' bound: after a restart of all hosts a version named before the oldest kept mark of the store, about six seconds, whose time was not stored, was taken to be new.

Cause: without a mark before a row nothing was assumed, though a mark as new as the row proves that it was written before the mark. Class: the longest absences treated as none. Change: mark.WrittenBefore gives that time, which is used as the least age. Result: TestOldestMarkBoundsOlderNamings failed before (2 s instead of 4 s or more) and passes. The real age there is 11 s: the part before the oldest mark is still unknown.

--- a/internal/gate/host/age_test.go
+++ b/internal/gate/host/age_test.go
@@ -250,3 +250,27 @@
 		assert.GreaterOrEqual(t, ageOf(t, reader, 2), s.now().Sub(named))
 	})
 }
+
+// TestOldestMarkBoundsOlderNamings guards against replaced weights that answered after
+// the operators' bound: after a restart a naming older than all marks of the store was
+// taken to be new.
+func TestOldestMarkBoundsOlderNamings(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newClockStore()
+		s.put("op", "version/m", []byte("1"), true)
+		var failing atomic.Bool
+		failing.Store(true)
+		_, stop := startHost(t, s, &failing)
+		time.Sleep(3 * time.Second)
+		s.put("op", "version/m", []byte("2"), true)
+		named := s.now()
+		time.Sleep(9 * time.Second)
+		stop()
+		failing.Store(false)
+		h, stop := startHost(t, s, &failing)
+		defer stop()
+		time.Sleep(2 * time.Second)
+		assert.GreaterOrEqual(t, ageOf(t, h, 2), 4*time.Second, "the marks tell at least that much")
+		assert.LessOrEqual(t, ageOf(t, h, 2), s.now().Sub(named))
+	})
+}
--- a/internal/gate/host/announce.go
+++ b/internal/gate/host/announce.go
@@ -108,11 +108,12 @@
 }
 
 // boundAges sets an upper bound of the ages of announcements that were unknown before
-// the gateway's own rows were read. If it is stored when the version was announced,
-// that time has been applied already.
+// the gateway's own rows were read, or a lower one if the marks don't reach back as far.
+// If it is stored when the version was announced, that time has been applied already.
 func (h *Host) boundAges(clock clockReading, marks mark.History, unknown map[modelVersion]uint64) {
 	for n, rowVersion := range unknown {
 		after, bounded := marks.WrittenAfter(rowVersion)
+		before, older := marks.WrittenBefore(rowVersion)
 		h.mu.Lock()
 		delete(h.unknownAges, n)
 		_, stored := h.storedAges[n]
@@ -122,6 +123,9 @@
 		case bounded:
 			age := h.announceAt(n, clock.hostTime(after))
 			h.logger.Info("age of named weights bounded", "model", n.model, "weights", n.version, "ageMs", age.Milliseconds())
+		case older:
+			age := h.announceAt(n, clock.hostTime(before))
+			h.logger.Warn("least age of named weights known", "model", n.model, "weights", n.version, "ageMs", age.Milliseconds())
 		default:
 			h.logger.Warn("age of named weights unknown", "model", n.model, "weights", n.version)
 		}
--- a/internal/infra/mark/mark.go
+++ b/internal/infra/mark/mark.go
@@ -40,3 +40,14 @@
 	}
 	return 0, false
 }
+
+// WrittenBefore returns a time by the store's clock before which a row of the given
+// version was written; false if the history has no mark that is as new as it.
+func (h History) WrittenBefore(version uint64) (time.Duration, bool) {
+	for _, m := range h {
+		if m.Version >= version {
+			return time.Duration(m.ClockMillis) * time.Millisecond, true
+		}
+	}
+	return 0, false
+}
--- a/internal/infra/mark/mark_test.go
+++ b/internal/infra/mark/mark_test.go
@@ -42,3 +42,27 @@
 		})
 	}
 }
+
+func TestWrittenBefore(t *testing.T) {
+	var history mark.History
+	for i := range int64(30) {
+		history = history.Add(mark.Mark{Version: uint64(10 * (i + 1)), ClockMillis: 500 * i})
+	}
+	tests := map[string]struct {
+		version uint64
+		want    time.Duration
+		found   bool
+	}{
+		"newer than all marks":      {305, 0, false},
+		"between two":               {295, 14500 * time.Millisecond, true},
+		"of the version of a mark":  {290, 14 * time.Second, true},
+		"older than all kept marks": {100, 9 * time.Second, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got, found := history.WrittenBefore(test.version)
+			assert.Equal(t, test.found, found)
+			assert.Equal(t, test.want, got)
+		})
+	}
+}
