Count the feed's pause in the age of weights named in it

Callers could see answers from replaced weights up to a quarter of a second after the operators' bound: a naming right after another change of the operators' table was read after the feed's pause, and taken to be new then.

Cause: the pause after changes is time in which the table isn't watched. Class: the moment of learning taken for that of the event. Change: if the first watch after the pause returns promptly, its rows are as old as the pause. A row written in the pause, or within 300 ms after it, is taken to be at most 250 ms too old. Result: TestNamingInThePauseOfTheFeed failed before at the start of the pause (2.755 s instead of 3 s) and passes; its other three cases passed before and do.

--- a/internal/gate/feed/feed.go
+++ b/internal/gate/feed/feed.go
@@ -97,6 +97,9 @@
 	// batchDelay is the pause after changes, so that changes in quick succession
 	// are read in one call.
 	batchDelay = 250 * time.Millisecond
+	// promptAnswer is how soon a watch returns if there were changes when it began. A
+	// slow store takes a quarter of a second.
+	promptAnswer = 300 * time.Millisecond
 	// minBackoff and maxBackoff limit the delay after a failed call.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 600 * time.Millisecond
@@ -150,6 +153,8 @@
 	// failedSince is when the first of the failed calls in succession ended; zero
 	// after a successful one.
 	failedSince time.Time
+	// pausedAt is when the pause after changes began; zero if none precedes the call.
+	pausedAt time.Time
 	// failedCallAt is when the last failed call began.
 	failedCallAt time.Time
 	// stalled is true if the process stalled since the last successful call.
@@ -213,6 +218,7 @@
 			break
 		}
 		pause := time.Duration(0)
+		f.pausedAt = time.Time{}
 		if err != nil {
 			f.storeFailed(began, err)
 			f.askPeers(ctx)
@@ -222,6 +228,7 @@
 			backoff = minBackoff
 			if changed {
 				pause = batchDelay
+				f.pausedAt = time.Now()
 			}
 		}
 		if pause == 0 {
@@ -252,6 +259,7 @@
 	f.mu.Lock()
 	f.listed = true
 	f.mu.Unlock()
+	f.pausedAt = time.Time{}
 	f.storeAnswered()
 	select {
 	case <-ctx.Done():
@@ -300,6 +308,7 @@
 	wait := f.watchTime()
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
+	began := time.Now()
 	page, err := f.options.Source.Watch(ctx, f.options.Table, after, wait)
 	var lost *LostHistoryError
 	if errors.As(err, &lost) {
@@ -314,7 +323,7 @@
 	if err != nil {
 		return false, err
 	}
-	page.Late, page.Unwatched = f.missedChanges(), f.unwatched()
+	page.Late, page.Unwatched = f.missedChanges(), f.unwatched(began)
 	f.storeAnswered()
 	f.change(page)
 	f.confirm()
@@ -391,11 +400,15 @@
 	return f.Version() == 0 || !f.failedSince.IsZero() && !outage
 }
 
-// unwatched returns for how long this node did not watch the table until now.
-func (f *Feed) unwatched() time.Duration {
-	if f.Unavailable() {
+// unwatched returns for how long this node did not watch the table before a watch that
+// has returned now; zero if the changes were made during the watch.
+func (f *Feed) unwatched(began time.Time) time.Duration {
+	switch {
+	case f.Unavailable():
 		// Nobody can write during an outage: rows are newer than the last failed call.
 		return time.Since(f.failedCallAt)
+	case !f.pausedAt.IsZero() && time.Since(began) < promptAnswer:
+		return began.Sub(f.pausedAt)
 	}
 	return 0
 }
--- a/internal/gate/host/age_test.go
+++ b/internal/gate/host/age_test.go
@@ -274,3 +274,34 @@
 		assert.LessOrEqual(t, ageOf(t, h, 2), s.now().Sub(named))
 	})
 }
+
+// TestNamingInThePauseOfTheFeed guards against replaced weights that answered after the
+// operators' bound: a naming in the pause after another change of the operators' table
+// was learned up to a quarter of a second later, and taken to be new then.
+func TestNamingInThePauseOfTheFeed(t *testing.T) {
+	tests := map[string]struct{ after, tooOld time.Duration }{
+		"at its start":              {after: 5 * time.Millisecond, tooOld: 50 * time.Millisecond},
+		"at its end":                {after: 240 * time.Millisecond, tooOld: 250 * time.Millisecond},
+		"just after it":             {after: 300 * time.Millisecond, tooOld: 250 * time.Millisecond},
+		"during the watch after it": {after: time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newDownStore()
+				s.put("op", "version/m", []byte("1"), true)
+				h := newHostOf(s)
+				defer runHost(t, h)()
+				time.Sleep(8 * time.Second)
+				s.put("op", "config", []byte("x"), true)
+				time.Sleep(test.after)
+				s.put("op", "version/m", []byte("2"), true)
+				named := s.now()
+				time.Sleep(3 * time.Second)
+				age := s.now().Sub(named)
+				assert.GreaterOrEqual(t, ageOf(t, h, 2), age-50*time.Millisecond)
+				assert.LessOrEqual(t, ageOf(t, h, 2), age+test.tooOld)
+			})
+		})
+	}
+}
