Let no guess raise the age of a naming that somebody saw

Callers would see engines with older weights refuse too early on all hosts: a host that joined while no host had the order lease bounded the age of a version by the last mark of the store, and hosts that had seen the naming adopted that.

Cause: the larger age won, whether known or assumed. Class: an assumption that overrides knowledge. Change: messages and stored times say whether an age is a guess. A guess doesn't raise an age that somebody saw; no age is ever lowered, so a host that has taken a guess keeps it. An age is a guess if its row was late, came from another node or was the first after an outage, or if its message was received after a stall. A version whose age is known or stored doesn't become late again. Messages and rows without the flag count as seen. TestUnseenAgesAreGuesses and TestUnseenRowsAreUnsure hold the other side: they fail if such ages count as seen.

--- a/internal/gate/feed/feed.go
+++ b/internal/gate/feed/feed.go
@@ -45,6 +45,9 @@
 	// Unwatched is how long before now rows that aren't late may have been written,
 	// beyond the time that an answer takes.
 	Unwatched time.Duration `json:"-"`
+	// Unsure is true when rows that aren't late may be older than Unwatched all the
+	// same: another node sent them, or they are the first after an outage.
+	Unsure bool `json:"-"`
 }
 
 // Source reads tables from the store.
@@ -323,7 +326,7 @@
 	if err != nil {
 		return false, err
 	}
-	page.Late, page.Unwatched = f.missedChanges(), f.unwatched(began)
+	page.Late, page.Unwatched, page.Unsure = f.missedChanges(), f.unwatched(began), f.Unavailable()
 	f.storeAnswered()
 	f.change(page)
 	f.confirm()
@@ -429,7 +432,7 @@
 	if len(page.Rows) > 0 {
 		f.options.Logger.Info("rows taken from a peer", "table", f.options.Table, "rows", len(page.Rows), "version", page.Version)
 	}
-	page.Late = f.missedChanges()
+	page.Late, page.Unsure = f.missedChanges(), true
 	if page.Whole {
 		f.reset(page)
 	} else {
--- a/internal/gate/feed/outage_test.go
+++ b/internal/gate/feed/outage_test.go
@@ -123,3 +123,25 @@
 		})
 	}
 }
+
+// TestUnseenRowsAreUnsure guards against replaced weights that answered too late: rows
+// that this node did not see being written would count as new.
+func TestUnseenRowsAreUnsure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		s := &source{lists: []answer{{page: page(3, row("a", 1))}}, watches: []answer{{page: page(4, row("b", 4))}, {page: page(4)}}}
+		got := map[string]bool{}
+		record := func(p feed.Page) { got[keys(p)] = p.Late || p.Unsure }
+		f := feed.New(feed.Options{
+			Table: "t", Source: s, Reset: record, Change: record, Scope: tally.NoopScope, Logger: hclog.NewNullLogger(),
+			Upstream: func(string) (uint64, time.Duration, bool) { return 5, 0, time.Since(began) > 600*time.Millisecond },
+			FetchFromPeer: func(context.Context, string, uint64) (feed.Page, error) {
+				return page(5, row("c", 5)), nil
+			},
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		_ = f.Serve(ctx)
+		assert.Equal(t, map[string]bool{"a": true, "b": false, "c": true}, got)
+	})
+}
--- a/internal/gate/host/age_test.go
+++ b/internal/gate/host/age_test.go
@@ -14,6 +14,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cicadamill/cicadamill/internal/gate/feed"
+	"github.com/cicadamill/cicadamill/internal/gate/oplog"
+	"github.com/cicadamill/cicadamill/internal/gate/peers"
 	"github.com/cicadamill/cicadamill/internal/gate/pick"
 	"github.com/cicadamill/cicadamill/internal/infra/table"
 	"github.com/cicadamill/cicadamill/internal/watch/spool"
@@ -305,3 +307,81 @@
 		})
 	}
 }
+
+// TestGuessRaisesNoKnownAge guards against requests refused by every engine: a host that
+// joined while no host had the order lease took weights to be as old as the last mark
+// of the store, and hosts that had seen the naming adopted that.
+func TestGuessRaisesNoKnownAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newDownStore()
+		s.put("op", "version/m", []byte("1"), true)
+		holder := newHostOf(s)
+		stop := runHost(t, holder)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		witness := newHostOf(s)
+		defer func() { _ = witness.meter.Close() }()
+		go func(ctx context.Context) { _ = witness.feeds["op"].Serve(ctx) }(ctx)
+		go func(ctx context.Context) { _ = witness.maintain(ctx) }(ctx)
+		time.Sleep(8 * time.Second)
+		stop()
+		time.Sleep(2500 * time.Millisecond)
+		s.put("op", "version/m", []byte("2"), true)
+		named := s.now()
+		time.Sleep(time.Second)
+		joins := newHostOf(s)
+		defer func() { _ = joins.meter.Close() }()
+		go func(ctx context.Context) { _ = joins.feeds["op"].Serve(ctx) }(ctx)
+		go func(ctx context.Context) { _ = joins.register(ctx) }(ctx)
+		time.Sleep(500 * time.Millisecond)
+		require.Greater(t, ageOf(t, joins, 2), 2*time.Second, "the case needs a guess that is too large")
+		witness.receive(oplog.Origin{Node: "j"}, joins.compose(oplog.Recipient{Node: "a"}, peers.Cursor{}), true)
+		age := s.now().Sub(named)
+		assert.LessOrEqual(t, ageOf(t, witness, 2), age+leaseSlack)
+		witness.operatorRows(feed.Page{Late: true, Rows: []feed.Row{{Key: "version/m", Value: []byte("2"), Version: 1}}})
+		assert.NotContains(t, witness.announcementsOfUnknownAge(), modelVersion{"m", 2}, "a lost history doesn't make a known age unknown")
+	})
+}
+
+// TestUnseenAgesAreGuesses guards against replaced weights that answered after the
+// operators' bound: an age of zero that nobody saw would beat the bounds of other hosts.
+func TestUnseenAgesAreGuesses(t *testing.T) {
+	two := pick.AnnouncedVersion{Version: 2}
+	row := []feed.Row{{Key: "version/m", Value: []byte("2"), Version: 2}}
+	learn := map[string]func(s *downStore, h *Host){
+		"late row":          func(_ *downStore, h *Host) { h.operatorRows(feed.Page{Rows: row, Late: true}) },
+		"row of a peer":     func(_ *downStore, h *Host) { h.operatorRows(feed.Page{Rows: row, Unsure: true}) },
+		"row after a stall": func(s *downStore, h *Host) { s.suspend(time.Second); h.operatorRows(feed.Page{Rows: row}) },
+		"message after a stall": func(s *downStore, h *Host) {
+			s.suspend(time.Second)
+			h.receive(oplog.Origin{Node: "b"}, peers.Message{Wanted: map[string]pick.AnnouncedVersion{"m": two}}, true)
+		},
+		"earlier version in a message after a stall": func(s *downStore, h *Host) {
+			s.suspend(time.Second)
+			h.receive(oplog.Origin{Node: "b"}, peers.Message{Superseded: map[string][]pick.AnnouncedVersion{"m": {two}}}, true)
+		},
+		"stored guess": func(_ *downStore, h *Host) {
+			_ = h.readAnnouncements(clockReading{began: h.platform.Now()}, "m", []byte(`{"named":[{"version":2,"guess":true}]}`))
+		},
+	}
+	for name, learn := range learn {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newDownStore()
+				h, other := newHostOf(s), newHostOf(s)
+				defer func() { _, _ = h.meter.Close(), other.meter.Close() }()
+				h.observeClocks()
+				learn(s, h)
+				message := h.compose(oplog.Recipient{Node: "c"}, peers.Cursor{})
+				assert.True(t, message.Wanted["m"].Guess)
+				other.receive(oplog.Origin{Node: "a"}, message, true)
+				require.NoError(t, other.storeAnnouncements(t.Context(), "m"))
+				reader := newHostOf(s)
+				defer func() { _ = reader.meter.Close() }()
+				require.NoError(t, reader.readRows(t.Context()))
+				reader.announceWeights("m", pick.AnnouncedVersion{Version: 2, Age: 9 * time.Second, Guess: true})
+				assert.Equal(t, 9*time.Second, ageOf(t, reader, 2), "an older guess counts across messages and the store")
+			})
+		})
+	}
+}
--- a/internal/gate/host/announce.go
+++ b/internal/gate/host/announce.go
@@ -31,6 +31,8 @@
 type announcement struct {
 	Version     uint64 `json:"version"`
 	ClockMillis int64  `json:"clockMillis"`
+	// Guess is true if the time is a bound.
+	Guess bool `json:"guess,omitempty"`
 }
 
 // clockReading is a reading of the store's clock.
@@ -79,17 +81,21 @@
 }
 
 // announceAt is like announceWeights for a version that was announced at the given time
-// of the boot-time clock.
-func (h *Host) announceAt(n modelVersion, at time.Time) time.Duration {
+// of the boot-time clock, or about then if that is a guess.
+func (h *Host) announceAt(n modelVersion, at time.Time, guess bool) time.Duration {
 	h.observeClocks()
 	age := max(h.platform.Now().Sub(at), 0)
-	h.announceWeights(n.model, pick.AnnouncedVersion{Version: n.version, Age: age})
+	h.announceWeights(n.model, pick.AnnouncedVersion{Version: n.version, Age: age, Guess: guess})
 	return age
 }
 
 // announceLate records that a version was announced at an unknown time before now. Its
-// age is at least zero until the gateway's own rows have been read.
+// age is at least zero until the gateway's own rows have been read. It does nothing if
+// the age is known.
 func (h *Host) announceLate(n WeightsChange, rowVersion uint64) {
+	if h.knowsAge(n) {
+		return
+	}
 	h.mu.Lock()
 	h.unknownAges[modelVersion{n.Model, n.Version}] = rowVersion
 	h.mu.Unlock()
@@ -99,6 +105,17 @@
 	}
 }
 
+// knowsAge reports whether somebody saw the announcement of a version, or its time is in
+// the store.
+func (h *Host) knowsAge(n WeightsChange) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_, stored := h.storedAges[modelVersion{n.Model, n.Version}]
+	return stored || slices.ContainsFunc(h.picker.Announced(time.Now(), n.Model), func(a pick.AnnouncedVersion) bool {
+		return a.Version == n.Version && !a.Guess
+	})
+}
+
 // announcementsOfUnknownAge returns the store versions of the rows by which this host
 // learned late of announcements.
 func (h *Host) announcementsOfUnknownAge() map[modelVersion]uint64 {
@@ -121,10 +138,10 @@
 		switch {
 		case stored:
 		case bounded:
-			age := h.announceAt(n, clock.hostTime(after))
+			age := h.announceAt(n, clock.hostTime(after), true)
 			h.logger.Info("age of named weights bounded", "model", n.model, "weights", n.version, "ageMs", age.Milliseconds())
 		case older:
-			age := h.announceAt(n, clock.hostTime(before))
+			age := h.announceAt(n, clock.hostTime(before), true)
 			h.logger.Warn("least age of named weights known", "model", n.model, "weights", n.version, "ageMs", age.Milliseconds())
 		default:
 			h.logger.Warn("age of named weights unknown", "model", n.model, "weights", n.version)
@@ -140,7 +157,7 @@
 	}
 	for _, a := range row.Named {
 		n := modelVersion{model, a.Version}
-		h.announceAt(n, clock.hostTime(time.Duration(a.ClockMillis)*time.Millisecond))
+		h.announceAt(n, clock.hostTime(time.Duration(a.ClockMillis)*time.Millisecond), a.Guess)
 		h.mu.Lock()
 		h.storedAges[n] = struct{}{}
 		h.mu.Unlock()
@@ -167,7 +184,7 @@
 	}
 	var row announcementRow
 	for _, announced := range known {
-		row.Named = append(row.Named, announcement{Version: announced.Version, ClockMillis: (page.Clock - announced.Age).Milliseconds()})
+		row.Named = append(row.Named, announcement{Version: announced.Version, ClockMillis: (page.Clock - announced.Age).Milliseconds(), Guess: announced.Guess})
 	}
 	row.Named = row.Named[max(0, len(row.Named)-maxAnnouncements):]
 	value, err := json.Marshal(row)
--- a/internal/gate/host/state.go
+++ b/internal/gate/host/state.go
@@ -100,7 +100,7 @@
 			if late {
 				h.announceLate(n, row.Version)
 			}
-			h.announceWeights(n.Model, pick.AnnouncedVersion{Version: n.Version, Age: page.Unwatched})
+			h.announceWeights(n.Model, pick.AnnouncedVersion{Version: n.Version, Age: page.Unwatched, Guess: late || page.Unsure})
 		}
 	}
 }
@@ -438,7 +438,7 @@
 }
 
 func (h *Host) receive(from oplog.Origin, m peers.Message, countLoad bool) {
-	h.observeClocks()
+	late := h.observeClocks()
 	now := time.Now()
 	h.mu.Lock()
 	if countLoad {
@@ -453,10 +453,12 @@
 	}
 	h.mu.Unlock()
 	for model, announced := range m.Wanted {
+		announced.Guess = announced.Guess || late
 		h.announceWeights(model, announced)
 	}
 	for model, all := range m.Superseded {
 		for _, announced := range all[:min(len(all), maxAnnouncements)] {
+			announced.Guess = announced.Guess || late
 			h.announceWeights(model, announced)
 		}
 	}
--- a/internal/gate/pick/message.go
+++ b/internal/gate/pick/message.go
@@ -157,4 +157,6 @@
 	// Age is the time since the announcement. It is too small if this node received
 	// the announcement late and no peer has reported a larger age yet.
 	Age time.Duration `json:"ageNanos"`
+	// Guess is true if nobody known saw the announcement itself: Age is a bound then.
+	Guess bool `json:"guess,omitempty"`
 }
--- a/internal/gate/pick/pick.go
+++ b/internal/gate/pick/pick.go
@@ -92,6 +92,7 @@
 type announcement struct {
 	version uint64
 	since   time.Time
+	guess   bool
 }
 
 // newest returns the newest version; zero if none was announced.
@@ -180,19 +181,21 @@
 }
 
 // Announce records an announced version of a model's weights and reports whether it
-// is the newest so far. If the version is known, the larger age is kept.
+// is the newest so far. If the version is known, the larger age is kept, but a guess
+// doesn't replace the age that somebody saw.
 func (s *Picker) Announce(now time.Time, model string, announced AnnouncedVersion) bool {
 	since := now.Add(-announced.Age)
 	m := s.models[model]
 	index, found := slices.BinarySearchFunc(m.announced, announced.Version, func(a announcement, v uint64) int { return cmp.Compare(a.version, v) })
 	if found {
-		if since.Before(m.announced[index].since) {
-			m.announced[index].since = since
+		known := &m.announced[index]
+		if since.Before(known.since) && (known.guess || !announced.Guess) {
+			known.since, known.guess = since, announced.Guess
 		}
 		return false
 	}
 	newest := index == len(m.announced)
-	m.announced = slices.Insert(m.announced, index, announcement{version: announced.Version, since: since})
+	m.announced = slices.Insert(m.announced, index, announcement{version: announced.Version, since: since, guess: announced.Guess})
 	m.announced = m.announced[max(0, len(m.announced)-maxVersions):]
 	s.models[model] = m
 	return newest
@@ -212,7 +215,7 @@
 func (s *Picker) Announced(now time.Time, model string) []AnnouncedVersion {
 	var all []AnnouncedVersion
 	for _, a := range s.models[model].announced {
-		all = append(all, AnnouncedVersion{Version: a.version, Age: now.Sub(a.since)})
+		all = append(all, AnnouncedVersion{Version: a.version, Age: now.Sub(a.since), Guess: a.guess})
 	}
 	return all
 }
@@ -241,7 +244,7 @@
 	all := make(map[string]AnnouncedVersion, len(s.models))
 	for model, m := range s.models {
 		newest := m.newest()
-		all[model] = AnnouncedVersion{Version: newest.version, Age: now.Sub(newest.since)}
+		all[model] = AnnouncedVersion{Version: newest.version, Age: now.Sub(newest.since), Guess: newest.guess}
 	}
 	return all
 }
@@ -256,7 +259,7 @@
 				if all == nil {
 					all = map[string][]AnnouncedVersion{}
 				}
-				all[model] = append(all[model], AnnouncedVersion{Version: a.version, Age: age})
+				all[model] = append(all[model], AnnouncedVersion{Version: a.version, Age: age, Guess: a.guess})
 			}
 		}
 	}
--- a/internal/gate/pick/pick_test.go
+++ b/internal/gate/pick/pick_test.go
@@ -297,6 +297,33 @@
 	assert.Equal(t, pick.AnnouncedVersion{Version: 2, Age: 20 * time.Second}, s.Announced(start, model)[1])
 }
 
+// TestGuessedAges guards against requests that every engine refuses, and replaced weights
+// that answer too late: the larger age counts, but a guess doesn't beat an age that
+// somebody saw.
+func TestGuessedAges(t *testing.T) {
+	announced := func(age time.Duration, guess bool) pick.AnnouncedVersion {
+		return pick.AnnouncedVersion{Version: 2, Age: age, Guess: guess}
+	}
+	tests := map[string]struct{ first, second, want pick.AnnouncedVersion }{
+		"older guess after a seen age":   {announced(time.Second, false), announced(4*time.Second, true), announced(time.Second, false)},
+		"older guess after a guess":      {announced(time.Second, true), announced(4*time.Second, true), announced(4*time.Second, true)},
+		"older seen age after a guess":   {announced(time.Second, true), announced(4*time.Second, false), announced(4*time.Second, false)},
+		"younger seen age after a guess": {announced(4*time.Second, true), announced(time.Second, false), announced(4*time.Second, true)},
+		"older seen age after another":   {announced(time.Second, false), announced(4*time.Second, false), announced(4*time.Second, false)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newState(1)
+			s.Announce(start, model, test.first)
+			s.Announce(start, model, test.second)
+			assert.Equal(t, test.want, s.Announced(start, model)[1])
+			assert.Equal(t, test.want, s.Newest(start)[model])
+			s.Announce(start, model, pick.AnnouncedVersion{Version: 3})
+			assert.Contains(t, s.Superseded(start, time.Minute)[model], test.want)
+		})
+	}
+}
+
 // Pattern: outlier ejection. A target that doesn't answer gets no request that
 // could be lost; one that fails some requests gets fewer.
 func TestFailingTargets(t *testing.T) {
