--- a/internal/gate/feed/feed.go
+++ b/internal/gate/feed/feed.go
@@ -42,6 +42,12 @@
 	// Late is true when the rows may have been written long before, since this node
 	// did not watch the table meanwhile.
 	Late bool `json:"-"`
+	// Unwatched is how long before now rows that aren't late may have been written,
+	// beyond the time that an answer takes.
+	Unwatched time.Duration `json:"-"`
+	// Unsure is true when rows that aren't late may be older than Unwatched all the
+	// same: another node sent them, or they are the first after an outage.
+	Unsure bool `json:"-"`
 }
 
 // Source reads tables from the store.
@@ -94,6 +100,9 @@
 	// batchDelay is the pause after changes, so that changes in quick succession
 	// are read in one call.
 	batchDelay = 250 * time.Millisecond
+	// promptAnswer is how soon a watch returns if there were changes when it began. A
+	// slow store takes a quarter of a second.
+	promptAnswer = 300 * time.Millisecond
 	// minBackoff and maxBackoff limit the delay after a failed call.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 600 * time.Millisecond
@@ -121,6 +130,9 @@
 	// changes are applied. It may be nil. A single failed call is enough, unlike for
 	// [Feed.Unavailable]: rows may have expired in an outage shorter than outageDelay.
 	OnAvailable func()
+	// Stalled reports whether this process has just not run for a while, so that a
+	// call may have failed without an outage. It may be nil.
+	Stalled func() bool
 	// Scope receives the metrics.
 	Scope tally.Scope
 	// Logger logs when the store becomes unavailable and available again.
@@ -145,6 +157,12 @@
 	// failedSince is when the first of the failed calls in succession ended; zero
 	// after a successful one.
 	failedSince time.Time
+	// pausedAt is when the pause after changes began; zero if none precedes the call.
+	pausedAt time.Time
+	// failedCallAt is when the last failed call began.
+	failedCallAt time.Time
+	// stalled is true if the process stalled since the last successful call.
+	stalled     bool
 	unavailable atomic.Bool
 	// wake ends the wait for the upstream node.
 	wake chan struct{}
@@ -198,13 +216,15 @@
 		if f.followUpstream(ctx) {
 			continue
 		}
+		began := time.Now()
 		changed, err := f.step(ctx)
 		if ctx.Err() != nil {
 			break
 		}
 		pause := time.Duration(0)
+		f.pausedAt = time.Time{}
 		if err != nil {
-			f.storeFailed(err)
+			f.storeFailed(began, err)
 			f.askPeers(ctx)
 			pause = backoff/2 + rand.N(backoff)
 			backoff = min(2*backoff, maxBackoff)
@@ -212,6 +232,7 @@
 			backoff = minBackoff
 			if changed {
 				pause = batchDelay
+				f.pausedAt = time.Now()
 			}
 		}
 		if pause == 0 {
@@ -247,6 +268,7 @@
 	f.mu.Lock()
 	f.listed = true
 	f.mu.Unlock()
+	f.pausedAt = time.Time{}
 	select {
 	case <-ctx.Done():
 	case <-f.wake:
@@ -294,6 +316,7 @@
 	wait := f.watchTime()
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
+	began := time.Now()
 	page, err := f.options.Source.Watch(ctx, f.options.Table, after, wait)
 	var lost *LostHistoryError
 	if errors.As(err, &lost) {
@@ -308,7 +331,7 @@
 	if err != nil {
 		return false, err
 	}
-	page.Late = f.missedChanges()
+	page.Late, page.Unwatched, page.Unsure = f.missedChanges(), f.unwatched(began), f.Unavailable()
 	f.storeAnswered()
 	f.change(page)
 	f.confirm()
@@ -378,8 +401,25 @@
 	}
 }
 
-// missedChanges reports whether this node did not watch the table until now.
-func (f *Feed) missedChanges() bool { return f.Version() == 0 || !f.failedSince.IsZero() }
+// missedChanges reports whether this node did not watch the table until now, for
+// another reason than an outage.
+func (f *Feed) missedChanges() bool {
+	outage := f.Unavailable() && !f.stalled
+	return f.Version() == 0 || !f.failedSince.IsZero() && !outage
+}
+
+// unwatched returns for how long this node did not watch the table before a watch that
+// has returned now; zero if the changes were made during the watch.
+func (f *Feed) unwatched(began time.Time) time.Duration {
+	switch {
+	case f.Unavailable():
+		// Nobody can write during an outage: rows are newer than the last failed call.
+		return time.Since(f.failedCallAt)
+	case !f.pausedAt.IsZero() && time.Since(began) < promptAnswer:
+		return began.Sub(f.pausedAt)
+	}
+	return 0
+}
 
 // askPeers applies the changes that another node returns. It doesn't count as a
 // confirmation by the store.
@@ -404,7 +444,7 @@
 	if len(page.Rows) > 0 {
 		f.options.Logger.Info("rows taken from a peer", "table", f.options.Table, "rows", len(page.Rows), "version", page.Version)
 	}
-	page.Late = f.missedChanges()
+	page.Late, page.Unsure = f.missedChanges(), true
 	return page, true
 }
 
@@ -417,7 +457,9 @@
 	}
 }
 
-func (f *Feed) storeFailed(err error) {
+func (f *Feed) storeFailed(began time.Time, err error) {
+	f.failedCallAt = began
+	f.stalled = f.stalled || f.options.Stalled != nil && f.options.Stalled()
 	f.options.Scope.Counter("feed_failures").Inc(1)
 	if f.failedSince.IsZero() {
 		f.failedSince = time.Now()
@@ -433,7 +475,7 @@
 		return
 	}
 	f.options.Logger.Info("store regained", "table", f.options.Table, "version", f.Version(), "awayMs", time.Since(f.failedSince).Milliseconds())
-	f.failedSince = time.Time{}
+	f.failedSince, f.stalled = time.Time{}, false
 	f.unavailable.Store(false)
 	if f.options.OnAvailable != nil {
 		f.options.OnAvailable()
