Let only an answer clear a part that crashes engines

Callers could lose answers of engines that crash on a part: any response below 500 and any stream that ended without an event cleared the part, though the engine had not begun to write an answer. Change: a success clears, and of a stream one with an event.

--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -208,7 +208,9 @@
 		r.crashed = h.mayHaveCrashed(client, s, r, ended)
 		return r
 	case done:
-		h.recordSurvival(s)
+		if isAnswer(s, r) {
+			h.recordSurvival(s)
+		}
 	case notRun, clientGone:
 	}
 	return r
--- a/internal/gate/proxy/deadly.go
+++ b/internal/gate/proxy/deadly.go
@@ -52,6 +52,13 @@
 	return h.options.Deadly.Broke(context.WithoutCancel(client), s.job.features, s.chosen.Target, headers) && headers
 }
 
+// isAnswer reports whether a target has answered a request: a success, of which a stream
+// has an event. An engine may refuse the request or end before it gets to the part that
+// crashes it.
+func isAnswer(s *attempt, r done) bool {
+	return r.status < http.StatusMultipleChoices && (s.job.route.Kind != streamKind || s.first > 0)
+}
+
 // outlivedBeginning reports whether the target was still there some time after the
 // first event.
 func (s *attempt) outlivedBeginning(now time.Time) bool {
--- a/internal/gate/proxy/deadly_test.go
+++ b/internal/gate/proxy/deadly_test.go
@@ -34,6 +34,41 @@
 	}
 }
 
+// TestOnlyAnswersClearAPart guards against requests that crash targets and are never
+// found, since other requests with the same part are rejected or end without an event.
+func TestOnlyAnswersClearAPart(t *testing.T) {
+	rejected := func(w http.ResponseWriter, r *http.Request, _ int) {
+		seal(w, r)
+		w.WriteHeader(http.StatusUnprocessableEntity)
+	}
+	empty := func(w http.ResponseWriter, r *http.Request, _ int) { seal(w, r) }
+	for name, other := range map[string]target{"rejected": rejected, "a stream without events": empty} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			crashes := crashOn("bad", 0, 0)
+			serve := func(w http.ResponseWriter, r *http.Request, arrival int) {
+				if arrival%2 == 0 {
+					other(w, r, arrival)
+					return
+				}
+				crashes(w, r, arrival)
+			}
+			w := newFixture(t, []target{serve, serve})
+			w.crashed.Store(true)
+			refused := 0
+			for i := range 8 {
+				got := w.sendBody(t, "/resume/x", fmt.Sprint("body", i), "Model", "m", "Parts", fmt.Sprint("common,bad,own", i))
+				if got.header.Get(fault.CodeHeader) == "crashRequest" {
+					refused++
+					continue
+				}
+				time.Sleep(crashPause)
+			}
+			assert.GreaterOrEqual(t, refused, 4)
+		})
+	}
+}
+
 // crashPause is longer than the time in which crashes count as one.
 const crashPause = 500 * time.Millisecond
 
