Tell requests with equal bodies apart by their prompts

Callers of sound requests could be refused: the digest that crashes are counted against left the prompt out, so requests of one workspace, path and body were one, whatever their parts. Change: the digest includes the parts of the prompt. Result: TestRequestsWithEqualBodiesDiffer fails on the code before and passes.

--- a/internal/gate/proxy/deadly.go
+++ b/internal/gate/proxy/deadly.go
@@ -19,9 +19,14 @@
 	beginning = 200 * time.Millisecond
 )
 
-// featuresOf returns the digest of a request and the hashes of its shared parts.
+// featuresOf returns the digest of a request, its prompt included, and the hashes of its
+// shared parts.
 func featuresOf(j *job) poison.Request {
-	r := poison.Request{Digest: xxh3.HashSeed(j.call.Body, xxh3.HashString(j.workspace.Name+"\x00"+j.call.Path))}
+	seed := xxh3.HashString(j.workspace.Name + "\x00" + j.call.Path)
+	for _, p := range j.call.Prompt.Parts {
+		seed = xxh3.HashStringSeed(p.ID, seed)
+	}
+	r := poison.Request{Digest: xxh3.HashSeed(j.call.Body, seed)}
 	for _, p := range j.call.Prompt.Shared() {
 		r.Parts = append(r.Parts, xxh3.HashString(p.ID))
 	}
--- a/internal/gate/proxy/deadly_test.go
+++ b/internal/gate/proxy/deadly_test.go
@@ -34,6 +34,19 @@
 	}
 }
 
+// TestRequestsWithEqualBodiesDiffer guards against refusing all requests of a workspace
+// and path because some with the same body crash targets on a part of their prompts.
+func TestRequestsWithEqualBodiesDiffer(t *testing.T) {
+	w := newFixture(t, []target{crashOn("bad", 0, 0), crashOn("bad", 0, 0)})
+	w.crashed.Store(true)
+	for i := range 3 {
+		w.sendBody(t, "/resume/x", "{}", "Model", "m", "Parts", fmt.Sprint("common,bad,own", i))
+		time.Sleep(crashPause)
+	}
+	got := w.sendBody(t, "/resume/x", "{}", "Model", "m", "Parts", "common,sheet,own")
+	assert.Equal(t, http.StatusOK, got.status)
+}
+
 // TestOnlyAnswersClearAPart guards against requests that crash targets and are never
 // found, since other requests with the same part are rejected or end without an event.
 func TestOnlyAnswersClearAPart(t *testing.T) {
