Take no leaving engine for a crashed one

Callers of sound requests could be refused during a release: engines that leave refuse connections, and requests that broke before these had begun to answer counted as crashed. Result: TestLeavingTargetsAreNoCrashes fails on the code before and passes.

--- a/internal/gate/deadly/deadly.go
+++ b/internal/gate/deadly/deadly.go
@@ -113,6 +113,10 @@
 // headers is true if the response headers had arrived. It reports whether the target
 // has crashed, which it finds out by connecting to it.
 func (d *Detector) Broke(ctx context.Context, request poison.Request, target roster.Target, headers bool) bool {
+	if target.Leaving && !headers {
+		// A target that leaves refuses connections as well.
+		return false
+	}
 	d.mu.Lock()
 	d.counter.ConnectionBroke(time.Now(), request, target.ID, headers)
 	d.mu.Unlock()
--- a/internal/gate/deadly/deadly_test.go
+++ b/internal/gate/deadly/deadly_test.go
@@ -78,6 +78,20 @@
 	}
 }
 
+// TestLeavingTargetsAreNoCrashes guards against refusing sound requests that broke as
+// their targets were replaced, one after the other.
+func TestLeavingTargetsAreNoCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDetector("a", (&dialer{}).dial)
+		request := poison.Request{Digest: 1, Parts: []uint64{10}}
+		for i := range 5 {
+			assert.False(t, d.Broke(t.Context(), request, roster.Target{ID: fmt.Sprint("e", i), Leaving: true}, false))
+			time.Sleep(time.Second)
+		}
+		assert.False(t, d.Refused(time.Now(), request))
+	})
+}
+
 // crash lets a request break on a target that crashed.
 func crash(t *testing.T, d *deadly.Detector, digest uint64, target string) {
 	t.Helper()
