Send a host all crashes if the log has lost some that it lacks

Callers could lose answers of engines which crash on a part that others refuse: a host that more than 1,024 crashes and survivals came after its last message got the latest ones only, and its position moved past the others. Change: such a host gets all that still count, like one that joins.

--- a/internal/gate/deadly/deadly.go
+++ b/internal/gate/deadly/deadly.go
@@ -200,12 +200,13 @@
 }
 
 // Since returns the crashes and survivals for a recipient after a position of the log,
-// and the position after them. A recipient that has received none gets all.
+// and the position after them. A recipient that has received none, or so few that the
+// log no longer has the next ones, gets all that count.
 func (d *Detector) Since(now time.Time, to oplog.Recipient, after uint64) ([]poison.Crash, []poison.Survival, uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	reports, next := d.reports.Since(after, to)
-	if after == oplog.FromNow {
+	if after == oplog.FromNow || !d.reports.Has(after) {
 		return d.counter.Crashes(now), d.counter.Survivals(now), next
 	}
 	var crashes []poison.Crash
--- a/internal/gate/deadly/deadly_test.go
+++ b/internal/gate/deadly/deadly_test.go
@@ -136,3 +136,22 @@
 		}
 	})
 }
+
+// TestManyCrashesReachASlowPeer guards against hosts that never hear of a crash, because
+// more of them came since their last message than the log holds.
+func TestManyCrashesReachASlowPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		witness, slow := newDetector("a", (&dialer{}).dial), newDetector("b", (&dialer{}).dial)
+		_, _, position := witness.Since(time.Now(), oplog.Recipient{Node: "b"}, oplog.FromNow)
+		const requests = 1200
+		for i := range uint64(requests) {
+			crash(t, witness, i, "e")
+		}
+		time.Sleep(time.Second)
+		crash(t, witness, requests, "f")
+		crashes, survivals, _ := witness.Since(time.Now(), oplog.Recipient{Node: "b"}, position)
+		assert.Equal(t, requests+1, len(crashes))
+		slow.Merge(time.Now(), crashes, survivals)
+		assert.True(t, slow.Refused(time.Now(), poison.Request{Digest: 9999, Parts: []uint64{20}}))
+	})
+}
--- a/internal/gate/oplog/oplog.go
+++ b/internal/gate/oplog/oplog.go
@@ -65,6 +65,15 @@
 	}
 }
 
+// oldest returns the position of the oldest entry that is returned.
+func (l *Log[T]) oldest() uint64 {
+	end := l.first + uint64(len(l.entries))
+	return max(l.first, end-min(end, uint64(l.limit)))
+}
+
+// Has reports whether the log still has all entries from a position on.
+func (l *Log[T]) Has(position uint64) bool { return position >= l.oldest() }
+
 // Since returns the entries for a recipient from a position on, and the
 // position after the last entry. For a position beyond the end, which a peer
 // may have after this node has restarted, it returns no entries.
@@ -73,9 +82,8 @@
 	if position >= end {
 		return nil, end
 	}
-	oldest := max(l.first, end-min(end, uint64(l.limit)))
 	var values []T
-	for _, e := range l.entries[max(position, oldest)-l.first:] {
+	for _, e := range l.entries[max(position, l.oldest())-l.first:] {
 		if e.origin.VisibleTo(recipient) {
 			values = append(values, e.value)
 		}
--- a/internal/gate/oplog/oplog_test.go
+++ b/internal/gate/oplog/oplog_test.go
@@ -54,3 +54,15 @@
 		assert.Equal(t, uint64(i+1), next)
 	}
 }
+
+func TestHas(t *testing.T) {
+	log := oplog.New[int](3)
+	assert.True(t, log.Has(0))
+	for i := range 20 {
+		log.Add(oplog.Origin{}, i)
+		for position := range uint64(i + 1) {
+			entries, _ := log.Since(position, oplog.Recipient{Node: "b"})
+			assert.Equal(t, len(entries) == i+1-int(position), log.Has(position), "position %d of %d", position, i)
+		}
+	}
+}
