Add a failing test: a naming in a delayed answer is not new

An answer of the store that comes 3 s late, without a failed call or a stall, tells of a naming as if it were new; other hosts that got it in time correct that.

--- a/internal/gate/host/naming_test.go
+++ b/internal/gate/host/naming_test.go
@@ -131,10 +131,16 @@
 // startHost runs the parts of a host that learn of announced weights. The returned
 // function ends them as a crash does: nothing is released.
 func startHost(t *testing.T, s *clockStore, failing *atomic.Bool) (*Host, func()) {
+	t.Helper()
+	return startHostOn(t, s, s, failing)
+}
+
+// startHostOn is like startHost with another source of the tables.
+func startHostOn(t *testing.T, s *clockStore, source feed.Source, failing *atomic.Bool) (*Host, func()) {
 	t.Helper()
 	h := New(Settings{Name: "a", DataCentre: "east", Bounds: Bounds{NewWeights: 12 * time.Second, Lease: 3 * time.Second}},
 		Platform{
-			Source: s, Table: rowsOf(s, failing), Engines: noEngines{}, Now: s.now,
+			Source: source, Table: rowsOf(s, failing), Engines: noEngines{}, Now: s.now,
 			OwnTable: "own", OperatorTable: "op", TargetTable: "servers",
 			DecodeOperator: func(row feed.Row) (OperatorChange, error) {
 				version, err := strconv.ParseUint(string(row.Value), 10, 64)
@@ -284,3 +290,36 @@
 		assert.Empty(t, from.compose(oplog.Recipient{Node: "a"}, peers.Cursor{}).Superseded, "a version whose bound has passed everywhere isn't sent")
 	})
 }
+
+// delayedStore delivers changes some time after they were made.
+type delayedStore struct {
+	*clockStore
+	delay atomic.Int64
+}
+
+func (s *delayedStore) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (feed.Page, error) {
+	page, err := s.clockStore.Watch(ctx, table, after, wait)
+	if len(page.Rows) > 0 {
+		time.Sleep(time.Duration(s.delay.Load()))
+	}
+	return page, err
+}
+
+// TestNamingInADelayedAnswerIsNotNew guards against replaced weights that answer after
+// the operators' bound: a naming that the store delivers seconds late, without a failed
+// call, counts as new.
+func TestNamingInADelayedAnswerIsNotNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &delayedStore{clockStore: newClockStore()}
+		s.put("op", "version/m", []byte("1"), true)
+		var failing atomic.Bool
+		h, stop := startHostOn(t, s.clockStore, s, &failing)
+		defer stop()
+		time.Sleep(8 * time.Second)
+		s.delay.Store(int64(3 * time.Second))
+		s.put("op", "version/m", []byte("2"), true)
+		named := s.now()
+		time.Sleep(5 * time.Second)
+		assert.GreaterOrEqual(t, ageOf(t, h, 2), s.now().Sub(named)-200*time.Millisecond)
+	})
+}
