Repeat a trial of refused requests that had no outcome

Callers of sound requests could be refused for minutes: a part that was blocked by mistake is released by one request on trial, which was never repeated if it was refused as busy, reached no target, or its client left. Change: a trial without a known crash or survivor is lost after 10 s. Result: TestLostTrialIsRepeated fails on the code before and passes.

--- a/internal/safety/poison/decide.go
+++ b/internal/safety/poison/decide.go
@@ -41,8 +41,9 @@
 
 // Trial reports whether a refused request is to be sent to find out whether its
 // features were blocked by mistake, and counts it as sent. Features without a survivor
-// get no trial. After a trial there is none until another crash is known. Trial is to
-// be called on one node only, which is chosen by the feature that Refused returns.
+// get no trial. After a trial there is none until another crash is known, or until the
+// trial must have been lost. Trial is to be called on one node only, which is chosen by
+// the feature that Refused returns.
 func (c *Counter) Trial(now time.Time, request Request) bool {
 	c.refresh(now)
 	var due []feature
@@ -51,7 +52,7 @@
 		if !blocked {
 			continue
 		}
-		if b.trialAt.IsZero() || now.Before(b.trialAt) || !c.trials[f].Before(b.last) {
+		if b.trialAt.IsZero() || now.Before(b.trialAt) || c.onTrial(now, f, b) {
 			return false
 		}
 		due = append(due, f)
@@ -62,6 +63,13 @@
 	return len(due) > 0
 }
 
+// onTrial reports whether the outcome of this node's last trial of a feature is not
+// known yet. A trial has none if the request reached no target or its client left.
+func (c *Counter) onTrial(now time.Time, f feature, b block) bool {
+	last, tried := c.trials[f]
+	return tried && !last.Before(b.last) && now.Sub(last) < trialInterval
+}
+
 // Suspected reports whether a request may have crashed a target: it holds a blocked
 // feature, or one of a crash that no blocked feature explains. Such a request
 // must not be sent again after its connection broke.
--- a/internal/safety/poison/heal_test.go
+++ b/internal/safety/poison/heal_test.go
@@ -109,6 +109,18 @@
 	assert.True(t, peer.Trial(at(51), request(5, 666)))
 }
 
+// TestLostTrialIsRepeated guards against sound parts that stay refused, because the one
+// request that was sent on trial reached no target.
+func TestLostTrialIsRepeated(t *testing.T) {
+	s := poison.New()
+	s.Answered(at(-9), at(-10), request(1, 200))
+	crashAll(s, at(-1), "a", request(2, 200))
+	crashAll(s, at(0), "b", request(3, 200))
+	assert.True(t, s.Trial(at(10), request(4, 200)))
+	assert.False(t, s.Trial(at(19), request(5, 200)), "it may still be under way")
+	assert.True(t, s.Trial(at(20), request(6, 200)))
+}
+
 func TestTrialSurvivedReleases(t *testing.T) {
 	s := poison.New()
 	s.Answered(at(-9), at(-10), request(1, 200))
