Cancel requests that wait at engines once their part is refused

Callers lost answers of engines that crashed after a part was refused already: requests with it that had been sent before, and were waiting, crashed one engine each as they began. Change: the maintenance loop cancels attempts without response headers whose requests are refused by now. Result: TestWaitingRequestsAreCancelledOnceRefused fails without it and passes.

--- a/internal/gate/deadly/deadly.go
+++ b/internal/gate/deadly/deadly.go
@@ -85,6 +85,13 @@
 	return refused
 }
 
+// RefusesAny reports whether any request is refused.
+func (d *Detector) RefusesAny(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.counter.BlocksAny(now)
+}
+
 // Trial reports whether a refused request is sent nevertheless, and counts it as sent.
 // One of all nodes does so once in a while for what used to be answered, so that a
 // mistake doesn't last.
--- a/internal/gate/host/state.go
+++ b/internal/gate/host/state.go
@@ -271,6 +271,7 @@
 		h.picker.SetMaxReplacedAge(now, maxAge)
 		h.mu.Unlock()
 		h.proxy.CancelReplaced(now)
+		h.proxy.CancelDeadly(now)
 		h.logMaxReplacedAge(maxAge)
 		if expired {
 			h.logger.Info("removed targets with expired entries")
--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -173,7 +173,8 @@
 	// answer.
 	survived bool
 	end      pick.Outcome
-	// tooLate is true if [Handler.CancelReplaced] cancelled the attempt.
+	// tooLate is true if [Handler.CancelReplaced] or [Handler.CancelDeadly] cancelled the
+	// attempt.
 	tooLate atomic.Bool
 }
 
@@ -254,8 +255,9 @@
 	}
 }
 
-// notBegun is the reason of attempts that [Handler.CancelReplaced] cancelled.
-const notBegun = "not begun while its weights may answer"
+// notBegun is the reason of attempts that [Handler.CancelReplaced] or
+// [Handler.CancelDeadly] cancelled.
+const notBegun = "not begun while it was allowed to"
 
 // classifyError classifies an error that occurred before the response headers.
 func (h *Handler) classifyError(client context.Context, s *attempt, err error) result {
--- a/internal/gate/proxy/deadly_test.go
+++ b/internal/gate/proxy/deadly_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -47,6 +48,41 @@
 	assert.Equal(t, http.StatusOK, got.status)
 }
 
+// TestWaitingRequestsAreCancelledOnceRefused guards against requests that were sent
+// before a part was known to crash engines, wait there, and crash one more each.
+func TestWaitingRequestsAreCancelledOnceRefused(t *testing.T) {
+	waiting := make(chan struct{}, 1)
+	crashes := crashOn("bad", 0, 0)
+	serve := func(w http.ResponseWriter, r *http.Request, arrival int) {
+		if strings.Contains(r.Header.Get("Parts"), "waits") {
+			waiting <- struct{}{}
+			hanging(w, r, arrival)
+			return
+		}
+		crashes(w, r, arrival)
+	}
+	w := newFixture(t, []target{serve, serve})
+	w.crashed.Store(true)
+	ended := make(chan reply, 1)
+	go func(context.Context) {
+		ended <- w.sendBody(t, "/stream/x", "waiting", "Model", "m", "Parts", "common,bad,waits")
+	}(t.Context())
+	<-waiting
+	w.handler.CancelDeadly(time.Now())
+	for i := range 2 {
+		w.sendBody(t, "/resume/x", fmt.Sprint("body", i), "Model", "m", "Parts", fmt.Sprint("common,bad,own", i))
+		time.Sleep(crashPause)
+	}
+	select {
+	case <-ended:
+		t.Fatal("the request must wait until the part is refused")
+	default:
+	}
+	w.handler.CancelDeadly(time.Now())
+	got := <-ended
+	assert.Equal(t, http.StatusBadGateway, got.status, "it may have begun")
+}
+
 // TestOnlyAnswersClearAPart guards against requests that crash targets and are never
 // found, since other requests with the same part are rejected or end without an event.
 func TestOnlyAnswersClearAPart(t *testing.T) {
--- a/internal/gate/proxy/unbegun.go
+++ b/internal/gate/proxy/unbegun.go
@@ -35,13 +35,12 @@
 	delete(u.attempts, s)
 }
 
-// cancelBelow cancels the attempts at weights older than the given version of their
-// model.
-func (u *unbegun) cancelBelow(oldest map[string]uint64) {
+// cancel cancels the attempts for which mayBegin returns false.
+func (u *unbegun) cancel(mayBegin func(*attempt) bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for s := range u.attempts {
-		if s.chosen.Version < oldest[s.job.call.Prompt.Model] {
+		if !mayBegin(s) {
 			s.tooLate.Store(true)
 			s.cancel()
 			delete(u.attempts, s)
@@ -57,6 +56,15 @@
 	oldest := h.options.Picker.MinBeginVersions(now)
 	h.options.Lock.Unlock()
 	if len(oldest) > 0 {
-		h.unbegun.cancelBelow(oldest)
+		h.unbegun.cancel(func(s *attempt) bool { return s.chosen.Version >= oldest[s.job.call.Prompt.Model] })
 	}
 }
+
+// CancelDeadly cancels the attempts that have not begun of requests like which have
+// crashed targets since they were sent. Its caller calls it at short intervals.
+func (h *Handler) CancelDeadly(now time.Time) {
+	if !h.options.Deadly.RefusesAny(now) {
+		return
+	}
+	h.unbegun.cancel(func(s *attempt) bool { return s.job.trial || !h.options.Deadly.Refused(now, s.job.features) })
+}
--- a/internal/safety/poison/decide.go
+++ b/internal/safety/poison/decide.go
@@ -85,6 +85,12 @@
 	return false
 }
 
+// BlocksAny reports whether any feature is blocked.
+func (c *Counter) BlocksAny(now time.Time) bool {
+	c.refresh(now)
+	return len(c.blocked) > 0
+}
+
 // Blocked returns the blocked features in a fixed order.
 func (c *Counter) Blocked(now time.Time) []Block {
 	c.refresh(now)
