--- a/internal/gate/feed/feed.go
+++ b/internal/gate/feed/feed.go
@@ -246,45 +246,6 @@
 	return ctx.Err()
 }
 
-// followUpstream copies newer rows from the upstream node and waits for its next
-// update. It returns false if there is no upstream node with a current copy, so
-// that the store must be called.
-func (f *Feed) followUpstream(ctx context.Context) bool {
-	if f.options.Upstream == nil {
-		return false
-	}
-	version, age, ok := f.options.Upstream(f.options.Table)
-	if !ok || age >= maxUpstreamAge {
-		return false
-	}
-	var changes Page
-	if version > f.Version() {
-		if changes, ok = f.fetchFromPeer(ctx); !ok {
-			return false
-		}
-	}
-	f.storeAnswered()
-	f.apply(changes)
-	f.mu.Lock()
-	f.listed = true
-	f.mu.Unlock()
-	f.pausedAt = time.Time{}
-	select {
-	case <-ctx.Done():
-	case <-f.wake:
-	case <-time.After(maxUpstreamAge - age):
-	}
-	return true
-}
-
-// Wake makes the feed check the upstream node's version at once.
-func (f *Feed) Wake() {
-	select {
-	case f.wake <- struct{}{}:
-	default:
-	}
-}
-
 // watchTime returns how long a watch waits for changes.
 func (f *Feed) watchTime() time.Duration {
 	if !f.failedSince.IsZero() {
@@ -421,42 +382,6 @@
 	return 0
 }
 
-// askPeers applies the changes that another node returns. It doesn't count as a
-// confirmation by the store.
-func (f *Feed) askPeers(ctx context.Context) {
-	if page, ok := f.fetchFromPeer(ctx); ok {
-		f.apply(page)
-	}
-}
-
-// fetchFromPeer returns the changes that another node has; false if none answered.
-func (f *Feed) fetchFromPeer(ctx context.Context) (Page, bool) {
-	if f.options.FetchFromPeer == nil {
-		return Page{}, false
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	page, err := f.options.FetchFromPeer(ctx, f.options.Table, f.Version())
-	if err != nil {
-		f.options.Logger.Debug("failed to get rows from peers", "table", f.options.Table, "error", err)
-		return Page{}, false
-	}
-	if len(page.Rows) > 0 {
-		f.options.Logger.Info("rows taken from a peer", "table", f.options.Table, "rows", len(page.Rows), "version", page.Version)
-	}
-	page.Late, page.Unsure = f.missedChanges(), true
-	return page, true
-}
-
-// apply applies rows of another node.
-func (f *Feed) apply(page Page) {
-	if page.Whole {
-		f.reset(page)
-	} else {
-		f.change(page)
-	}
-}
-
 func (f *Feed) storeFailed(began time.Time, err error) {
 	f.failedCallAt = began
 	f.stalled = f.stalled || f.options.Stalled != nil && f.options.Stalled()
--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -173,9 +173,9 @@
 	// answer.
 	survived bool
 	end      pick.Outcome
-	// tooLate is true if [Handler.CancelReplaced] or [Handler.CancelDeadly] cancelled the
+	// cancelled is true if [Handler.CancelReplaced] or [Handler.CancelDeadly] cancelled the
 	// attempt.
-	tooLate atomic.Bool
+	cancelled atomic.Bool
 }
 
 // send makes one attempt: it sends a request to a target, forwards the response
@@ -264,7 +264,7 @@
 	switch {
 	case client.Err() != nil:
 		return clientGone{}
-	case s.tooLate.Load():
+	case s.cancelled.Load():
 		if !s.guard.Sent() {
 			return notRun{reason: notBegun}
 		}
--- a/internal/gate/proxy/unbegun.go
+++ b/internal/gate/proxy/unbegun.go
@@ -41,7 +41,7 @@
 	defer u.mu.Unlock()
 	for s := range u.attempts {
 		if !mayBegin(s) {
-			s.tooLate.Store(true)
+			s.cancelled.Store(true)
 			s.cancel()
 			delete(u.attempts, s)
 		}
