--- a/internal/gate/deadly/deadly_test.go
+++ b/internal/gate/deadly/deadly_test.go
@@ -99,7 +99,7 @@
 }
 
 // TestNodesShareCrashes guards against hosts that send what others refuse, also those
-// that hear of it over a third one.
+// that learn of it through a third one.
 func TestNodesShareCrashes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		nodes := map[string]*deadly.Detector{}
@@ -137,7 +137,7 @@
 	})
 }
 
-// TestManyCrashesReachASlowPeer guards against hosts that never hear of a crash, because
+// TestManyCrashesReachASlowPeer guards against hosts that never learn of a crash, because
 // more of them came since their last message than the log holds.
 func TestManyCrashesReachASlowPeer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gate/host/announce.go
+++ b/internal/gate/host/announce.go
@@ -214,7 +214,7 @@
 }
 
 // runAnnouncements stores the announcement times of each model that has a new
-// version. A host that has only heard of it from another one waits until it has read
+// version. A host that knows it only from another one waits until it has read
 // the row itself, since the other may not know the age yet.
 func (h *Host) runAnnouncements(ctx context.Context) error {
 	written := map[string]uint64{}
--- a/internal/gate/host/naming_test.go
+++ b/internal/gate/host/naming_test.go
@@ -274,7 +274,7 @@
 }
 
 // TestHostsShareEveryNaming guards against replaced weights that answered after the
-// operators' bound: a host that was away while two versions were named heard of the
+// operators' bound: a host that was away while two versions were named learned of the
 // second one only, and let the oldest weights answer until that one's bound.
 func TestHostsShareEveryNaming(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
