Show that a stream left midway ends as complete

When the client's side of the connection is closed, the handler returns as after a whole answer and net/http writes the last chunk; a client that closes its sending side and reads on takes a part of the stream for all of it.

--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -29,6 +29,7 @@
 	"slashes": playSlashes,
 	"endless": playEndless,
 	"bodies":  playBodies,
+	"leave":   playLeave,
 	"twice":   playTwice,
 }
 
