--- a/review/_stand/bodies.go
+++ b/review/_stand/bodies.go
@@ -77,7 +77,9 @@
 				c := &client{address: h.front}
 				for ctx.Err() == nil {
 					id := fmt.Sprintf("%016x", sent.Add(1))
-					switch status := c.upload(id); {
+					status := c.upload(id)
+					r.write("client: %s, a body of %d bytes, answered %s, a target had begun to run it: %v", id, bodyBytes, status, ran.has(id))
+					switch {
 					case status == "200 OK":
 						served.Add(1)
 						continue
--- a/review/_stand/endless.go
+++ b/review/_stand/endless.go
@@ -99,6 +99,7 @@
 					defer func() { kept <- c }()
 					id := fmt.Sprintf("%016x", number.Add(1))
 					status, _ := c.post(id, "/pay/", 3*time.Second)
+					r.write("client: payment %s, answered %s, a target had begun to run it: %v", id, status, ran.has(id))
 					switch {
 					case status == "200 OK":
 						paid.Add(1)
@@ -124,7 +125,9 @@
 				go func() {
 					defer clients.Done()
 					id := fmt.Sprintf("%016x", number.Add(1))
-					switch sendStream(ctx, h.front, id) {
+					end := sendStream(ctx, h.front, id)
+					r.write("client: stream %s, end: %s", id, end)
+					switch end {
 					case "whole":
 						whole.Add(1)
 					case "refused":
--- a/review/_stand/host.go
+++ b/review/_stand/host.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -233,14 +232,6 @@
 	h.record.write("host %s: not ready after %s", h.name, readyTimeout)
 }
 
-func (h *host) signal(s os.Signal) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if err := h.command.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
-		h.record.write("host %s: signal %v: %v", h.name, s, err)
-	}
-}
-
 // kill ends the process for good.
 func (h *host) kill() {
 	h.mu.Lock()
--- a/review/_stand/twice.go
+++ b/review/_stand/twice.go
@@ -126,7 +126,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), twiceTime)
 	defer cancel()
 	go func() {
-		for n := int32(0); ctx.Err() == nil; n++ {
+		for ctx.Err() == nil {
 			grey.Store(0)
 			time.Sleep(greyTime)
 			grey.Store(-1)
@@ -154,6 +154,11 @@
 	clients.Wait()
 	ran.mu.Lock()
 	defer ran.mu.Unlock()
+	for n := range sent.Load() {
+		id := fmt.Sprintf("%016x", n+1)
+		status, _ := answered.Load(id)
+		r.write("request %s: answered %v, ran at %v", id, status, ran.by[id])
+	}
 	falseRefusals := 0
 	counts := map[string]int{}
 	answered.Range(func(id, status any) bool {
