--- a/review/_stand/bodies.go
+++ b/review/_stand/bodies.go
@@ -19,11 +19,14 @@
 	uploadTime = 2 * time.Second
 	// usualClients is the number of clients of a host, burstClients that in a burst of 1.7
 	// times the usual.
-	usualClients  = 14
-	burstClients  = 24
+	usualClients = 14
+	burstClients = 23
+	// burstTime is how long a burst takes, burstPause the pause before it.
+	burstTime     = 3 * time.Second
+	burstPause    = 4 * time.Second
 	bodiesHosts   = 2
 	bodiesTargets = 4
-	bodiesTime    = 60 * time.Second
+	bodiesTime    = 100 * time.Second
 )
 
 // ranSet holds the requests that a sound target has begun to run.
@@ -65,17 +68,30 @@
 	if trouble {
 		number = burstClients
 	}
+	var bursts atomic.Bool
 	ctx, cancel := context.WithTimeout(context.Background(), bodiesTime)
 	defer cancel()
+	go func() {
+		for ctx.Err() == nil {
+			time.Sleep(burstPause)
+			bursts.Store(true)
+			time.Sleep(burstTime)
+			bursts.Store(false)
+		}
+	}()
 	var clients sync.WaitGroup
 	var served, refused, lost, cut, sent atomic.Int64
 	for _, h := range all {
-		for range number {
+		for n := range number {
 			clients.Add(1)
 			go func() {
 				defer clients.Done()
 				c := &client{address: h.front}
 				for ctx.Err() == nil {
+					if n >= usualClients && !bursts.Load() {
+						time.Sleep(10 * time.Millisecond)
+						continue
+					}
 					id := fmt.Sprintf("%016x", sent.Add(1))
 					status := c.upload(id)
 					r.write("client: %s, a body of %d bytes, answered %s, a target had begun to run it: %v", id, bodyBytes, status, ran.has(id))
--- a/review/_stand/leave.go
+++ b/review/_stand/leave.go
@@ -14,6 +14,8 @@
 	// leaveStreams is the number of streams, of which every leaveEvery-th is left.
 	leaveStreams = 40
 	leaveEvery   = 4
+	// leaveTime is how long clients leave, from the beginning.
+	leaveTime = 5 * time.Second
 	// leaveAfter is when a client leaves. A stream has streamPieces, one each piecePause.
 	leaveAfter   = 200 * time.Millisecond
 	streamPieces = 20
@@ -40,9 +42,9 @@
 	e.start(store)
 	h := newHost("front-tema-1", folder, address, r)
 	h.start()
-	broken := 0
+	broken, began := 0, time.Now()
 	for n := range leaveStreams {
-		id, leaves := fmt.Sprintf("%016x", n+1), trouble && n%leaveEvery == 0
+		id, leaves := fmt.Sprintf("%016x", n+1), trouble && n%leaveEvery == 0 && time.Since(began) < leaveTime
 		pieces, err := readStream(h.front, id, leaves)
 		r.write("client: stream %s, leaves: %v; %d of %d pieces, end: %v", id, leaves, pieces, streamPieces, err)
 		if err == nil && pieces < streamPieces {
--- a/review/_stand/twice.go
+++ b/review/_stand/twice.go
@@ -35,7 +35,10 @@
 	// extraShare is the part of the answers of the first garbledTargets of which a second
 	// copy comes late.
 	garbledTargets = 2
-	extraShare     = 0.03
+	// garbleTime is how long they do so, garblePause the pause until they do it again.
+	garbleTime  = 5 * time.Second
+	garblePause = 250 * time.Millisecond
+	extraShare  = 0.03
 	// workTime is the mean work of book-pay.
 	workTime = 60 * time.Millisecond
 )
@@ -66,17 +69,13 @@
 	configureConns(store, []route{{name: "book-pay", prefix: "/pay/", service: plain, kind: "unsafe", timeout: 1500 * time.Millisecond, objective: 300 * time.Millisecond, attempts: 1}}, twiceConns)
 	ran := &runs{by: map[string][]string{}}
 	var grey atomic.Int32
+	var garbles atomic.Bool
 	grey.Store(-1)
 	var refused, extra, extraBeforeRun atomic.Int64
 	for n := range twiceTargets {
 		t := &server{id: fmt.Sprintf("i-%08x", n+1), service: plain, slots: targetSlots}
 		var busy atomic.Int32
 		slots := make(chan struct{}, targetSlots)
-		work := func() {
-			slots <- struct{}{}
-			time.Sleep(workTime)
-			<-slots
-		}
 		t.serveConn = func(conn net.Conn, in *bufio.Reader) {
 			late := ""
 			for {
@@ -89,32 +88,33 @@
 				}
 				id := request.Header.Get("X-Cicadamill-Request-Id")
 				if want := request.Header.Get("X-Cicadamill-Expect-Instance"); want != t.id {
-					r.write("target %s: not the instance %s", t.id, want)
-					return
+					answer(conn, request, "421 Misdirected Request", "X-Cicadamill-Not-Executed: 1\r\n", nil)
+					continue
 				}
 				response := refusal
 				if busy.Add(1) > targetSlots+targetQueue || trouble && int(grey.Load()) == n && rand.Float64() < greyShare {
 					refused.Add(1)
 				} else {
+					// A request has run once a slot begins to work on it.
+					slots <- struct{}{}
 					if again := ran.add(id, t.id); again > 1 {
 						r.write("target %s: runs %s, which has run %d times before", t.id, id, again-1)
 					}
-					if late == "" {
-						work()
-					} else {
+					if late != "" {
 						extraBeforeRun.Add(1)
 						r.write("target %s: sends a late copy of %q while it runs %s", t.id, late[9:12], id)
 						_, _ = io.WriteString(conn, late)
 						late = ""
-						work()
 					}
+					time.Sleep(workTime)
+					<-slots
 					response = fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: 4\r\n\r\npaid", sealed(request))
 				}
 				busy.Add(-1)
 				if _, err := io.WriteString(conn, response); err != nil {
 					return
 				}
-				if trouble && n < garbledTargets && rand.Float64() < extraShare {
+				if trouble && garbles.Load() && n < garbledTargets && rand.Float64() < extraShare {
 					extra.Add(1)
 					late = response
 				}
@@ -125,6 +125,14 @@
 	all := startFleet(twiceHosts, folder, address, r)
 	ctx, cancel := context.WithTimeout(context.Background(), twiceTime)
 	defer cancel()
+	go func() {
+		for ctx.Err() == nil {
+			garbles.Store(true)
+			time.Sleep(garbleTime)
+			garbles.Store(false)
+			time.Sleep(garblePause)
+		}
+	}()
 	go func() {
 		for ctx.Err() == nil {
 			grey.Store(0)
