Log whose rows a host takes, which targets it keeps, and what broke a stream off

The lines that tell the hypotheses of the two postmortems apart: the sender, the version before and whether the page is whole in "rows taken from a peer"; a line for each listing of a table; the targets that are kept although their entries are missing; in "sent" whether the target was leaving before the first byte, which cancellation ended the attempt and how much of its time was left; in "refused" whether the stream had begun. No decision changes.

--- a/internal/gate/feed/feed.go
+++ b/internal/gate/feed/feed.go
@@ -50,6 +50,8 @@
 	// Unsure is true when rows that aren't late may be older than Unwatched all the
 	// same: another node sent them, or they are the first after an outage.
 	Unsure bool `json:"-"`
+	// Sender is the address of the node that sent the page; empty for the store.
+	Sender string `json:"-"`
 }
 
 // Source reads tables from the store.
@@ -278,6 +280,7 @@
 			f.offset = clockOffset{}
 		}
 		f.offset.delay(time.Now(), time.Now(), page.Clock)
+		f.options.Logger.Info("table listed", "table", f.options.Table, "had", after, "rows", len(page.Rows), "version", page.Version)
 		f.reset(page)
 		f.confirm()
 		return true, nil
--- a/internal/gate/feed/nodes.go
+++ b/internal/gate/feed/nodes.go
@@ -59,13 +59,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	page, err := f.options.FetchFromPeer(ctx, f.options.Table, f.Version())
+	after := f.Version()
+	page, err := f.options.FetchFromPeer(ctx, f.options.Table, after)
 	if err != nil {
 		f.options.Logger.Debug("failed to get rows from peers", "table", f.options.Table, "error", err)
 		return Page{}, false
 	}
 	if len(page.Rows) > 0 {
-		f.options.Logger.Info("rows taken from a peer", "table", f.options.Table, "rows", len(page.Rows), "version", page.Version)
+		f.options.Logger.Info("rows taken from a peer", "table", f.options.Table, "sender", page.Sender, "had", after, "rows", len(page.Rows),
+			"whole", page.Whole, "version", page.Version)
 	}
 	page.Late, page.Unsure = f.missedChanges() || restored(f.Version(), page.Version), true
 	return page, true
--- a/internal/gate/host/host.go
+++ b/internal/gate/host/host.go
@@ -147,8 +147,9 @@
 	unknownAges map[modelVersion]uint64
 	storedAges  map[modelVersion]struct{}
 	stalls      stall.Detector
-	// slowTargets are the targets last logged as slow.
-	slowTargets []string
+	// slowTargets are the targets last logged as slow, missingTargets those last logged
+	// as kept without an entry.
+	slowTargets, missingTargets []string
 	// loggedMaxReplacedAge is the last logged limit on the age of replaced weights.
 	// Only the maintenance loop uses it.
 	loggedMaxReplacedAge time.Duration
--- a/internal/gate/host/targets.go
+++ b/internal/gate/host/targets.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cicadamill/cicadamill/internal/gate/feed"
@@ -65,6 +66,10 @@
 func (h *Host) publishTargets() {
 	h.mu.Lock()
 	targets := h.roster.Targets()
+	if missing := h.roster.Missing(); !slices.Equal(missing, h.missingTargets) {
+		h.logger.Info("targets kept although their entries are missing", "targets", missing)
+		h.missingTargets = missing
+	}
 	for id, old := range h.listedTargets() {
 		if t, ok := targets[id]; !old.Leaving && (!ok || t.Born != old.Born) {
 			h.deadly.TargetCrashed(time.Now(), id)
--- a/internal/gate/peers/fetch.go
+++ b/internal/gate/peers/fetch.go
@@ -51,6 +51,7 @@
 
 func (p *Peers) ask(ctx context.Context, address, table string, after uint64) (page feed.Page, err error) {
 	err = p.get(ctx, "http://"+address+rowsPath+url.PathEscape(table)+"?after="+strconv.FormatUint(after, 10), &page)
+	page.Sender = address
 	return page, err
 }
 
--- a/internal/gate/pick/pick.go
+++ b/internal/gate/pick/pick.go
@@ -186,6 +186,12 @@
 	s.pace.SetTargets(names)
 }
 
+// TakesRequests reports whether a start of a target is listed and not leaving.
+func (s *Picker) TakesRequests(id string, born int64) bool {
+	t, ok := s.targets[id]
+	return ok && t.Born == born && !t.Leaving
+}
+
 // Announce records an announced version of a model's weights and reports whether it
 // is the newest so far. If the version is known, the larger age is kept, but a guess
 // doesn't replace the age that somebody saw.
--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -15,6 +15,7 @@
 
 	"github.com/cicadamill/cicadamill/internal/gate/call"
 	"github.com/cicadamill/cicadamill/internal/gate/pick"
+	"github.com/cicadamill/cicadamill/internal/gate/roster"
 	"github.com/cicadamill/cicadamill/internal/target/egress"
 )
 
@@ -190,8 +191,11 @@
 	survived bool
 	end      pick.Outcome
 	// cancelled is true if [Handler.CancelReplaced] or [Handler.CancelDeadly] cancelled the
-	// attempt.
-	cancelled atomic.Bool
+	// attempt, silent if its headers took too long.
+	cancelled, silent atomic.Bool
+	// leavingBefore is true if the target was leaving, or gone, when the request was
+	// about to be written to it.
+	leavingBefore atomic.Bool
 }
 
 // send makes one attempt: it sends a request to a target, forwards the response
@@ -203,7 +207,11 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s := &attempt{job: j, chosen: d, guard: egress.New(ctx.Err), began: time.Now(), cancel: cancel, end: pick.Cancelled}
+	s := &attempt{job: j, chosen: d, began: time.Now(), cancel: cancel, end: pick.Cancelled}
+	s.guard = egress.New(func() error {
+		s.leavingBefore.Store(!h.takesRequests(d.Target))
+		return ctx.Err()
+	})
 	h.options.Lock.Lock()
 	s.run = h.options.Picker.Start(s.began, j.request(s.began), d)
 	h.options.Lock.Unlock()
@@ -234,6 +242,13 @@
 	return r
 }
 
+// takesRequests reports whether a target that was chosen before may still get requests.
+func (h *Handler) takesRequests(target roster.Target) bool {
+	h.options.Lock.Lock()
+	defer h.options.Lock.Unlock()
+	return h.options.Picker.TakesRequests(target.ID, target.Born)
+}
+
 // exchange sends the request and, depending on the response's status and headers,
 // forwards the response or classifies the failure.
 func (h *Handler) exchange(ctx, client context.Context, w http.ResponseWriter, s *attempt, timeLeft time.Duration) result {
@@ -351,7 +366,10 @@
 	h.unbegun.add(s)
 	j, stop := s.job, func() {}
 	if j.mayRunAgain() {
-		silent := time.AfterFunc(max(2*j.route.Objective, 3*s.chosen.Expected), s.cancel)
+		silent := time.AfterFunc(max(2*j.route.Objective, 3*s.chosen.Expected), func() {
+			s.silent.Store(true)
+			s.cancel()
+		})
 		stop = func() { silent.Stop() }
 	}
 	return func() {
--- a/internal/gate/proxy/log.go
+++ b/internal/gate/proxy/log.go
@@ -20,6 +20,13 @@
 		outcome = "clientGone"
 	}
 	d := s.chosen
+	cancelled := ""
+	switch {
+	case s.cancelled.Load():
+		cancelled = notBegun
+	case s.silent.Load():
+		cancelled = "no headers in time"
+	}
 	if b, ok := r.(broken); ok && b.connLost {
 		h.logBroken(s)
 	}
@@ -27,7 +34,8 @@
 		"target", d.Target.ID, "weights", d.Version, "replacedMs", d.ReplacedFor.Milliseconds(), "shared", d.Shared, "cached", d.Cached, "fetched", d.Fetched, "from", d.FetchFrom,
 		"running", d.Load.Running, "prefill", d.Load.Prefill, "ageMs", d.Age.Milliseconds(), "slowness", d.Slowness, "expectedMs", d.Expected.Milliseconds(),
 		"config", s.job.plan.Version, "sending", s.job.sent, "lastEvent", s.job.stream.last,
-		"firstMs", s.first.Milliseconds(), "tookMs", time.Since(s.began).Milliseconds(), "outcome", outcome, "reason", reason)
+		"firstMs", s.first.Milliseconds(), "tookMs", time.Since(s.began).Milliseconds(), "leftMs", time.Until(s.job.deadline).Milliseconds(),
+		"leavingBefore", s.leavingBefore.Load(), "cancelled", cancelled, "outcome", outcome, "reason", reason)
 }
 
 // logBroken logs what may have crashed the target of an attempt whose connection broke.
@@ -48,5 +56,6 @@
 	}
 	h.options.Logger.Info("refused", "request", j.call.ID, "route", j.route.Name, "workspace", j.workspace.Name, "config", config,
 		"status", f.Status, "code", f.Code, "reason", f.Message, "ran", effect.Name(f.Outcome), "sendings", j.sent,
+		"begun", j.stream.begun, "lastEvent", j.stream.last, "leftMs", time.Until(j.deadline).Milliseconds(),
 		"retryAfterMs", f.RetryAfter.Milliseconds(), "tookMs", time.Since(j.arrived).Milliseconds())
 }
--- a/internal/gate/roster/roster.go
+++ b/internal/gate/roster/roster.go
@@ -4,6 +4,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cicadamill/cicadamill/internal/infra/epoch"
@@ -205,5 +206,9 @@
 	return expired
 }
 
+// Missing returns the sorted IDs of the targets that stay usable although their entries
+// are missing.
+func (l *List) Missing() []string { return slices.Sorted(maps.Keys(l.missingUntil)) }
+
 // Targets returns a copy of the list by target ID.
 func (l *List) Targets() map[string]Target { return maps.Clone(l.targets) }
