Pass a table on whole unless the copy has all changes that were asked for

Cause: a host that listed the list of targets after entries had been removed has no trace of these. It passed its rows on as the changes since an older version; the hosts that follow it took its version, and no later change names the missing rows. The same between two listings, for tombstones in whole pages that are older than a row which came and went after them, and for a host whose page came from another one than its upstream with an older copy.

A copy now knows since which version it has all changes, and between which versions it has not. For any other version it sends the whole table, without tombstones. A page names the version since which it is complete, and is ignored by an older copy. A host follows its upstream only once it has the upstream's version, and a host without a copy passes nothing on.

TestChanges expected changes since version 0 and 2 from a copy that was listed at 3, which is the fault; it expects the whole table now, and the changes since 3.

--- a/internal/gate/feed/feed.go
+++ b/internal/gate/feed/feed.go
@@ -50,10 +50,16 @@
 	// Unsure is true when rows that aren't late may be older than Unwatched all the
 	// same: another node sent them, or they are the first after an outage.
 	Unsure bool `json:"-"`
+	// Since is the version since which a page that isn't whole has all changes. A copy
+	// that is older can't be brought up to date by it.
+	Since uint64 `json:"since,omitempty"`
 	// Sender is the address of the node that sent the page; empty for the store.
 	Sender string `json:"-"`
 }
 
+// covers reports whether a page has everything that a copy at a version lacks.
+func (p Page) covers(version uint64) bool { return p.Whole || p.Since <= version }
+
 // Source reads tables from the store.
 type Source interface {
 	// List returns all rows of a table.
@@ -154,10 +160,11 @@
 	version uint64
 	// confirmedAt is when the store last confirmed the version.
 	confirmedAt time.Time
-	// removedAt is when each tombstone was added, prunedVersion the newest
-	// version of a tombstone that has been pruned.
-	removedAt     map[string]time.Time
-	prunedVersion uint64
+	// removedAt is when each tombstone was added.
+	removedAt map[string]time.Time
+	// history is the version since which rows has all changes, except those in unseen.
+	history uint64
+	unseen  gap
 	// failedSince is when the first of the failed calls in succession ended; zero
 	// after a successful one.
 	failedSince time.Time
@@ -174,6 +181,12 @@
 	wake chan struct{}
 }
 
+// gap is the versions between two states of the table, both excluded. Rows that were
+// written and removed again between them are in neither.
+type gap struct{ from, to uint64 }
+
+func (g gap) contains(version uint64) bool { return version > g.from && version < g.to }
+
 // New returns a feed with an empty copy of the table.
 //
 //	rows := feed.New(feed.Options{Table: "nodes", Source: store, Reset: reset, Change: change})
@@ -182,14 +195,18 @@
 	return &Feed{options: options, rows: map[string]Row{}, removedAt: map[string]time.Time{}, wake: make(chan struct{}, 1)}
 }
 
-// Changes returns the changes after a version in this node's copy. If tombstones
-// since that version have been pruned, it returns the whole table.
+// Changes returns the changes after a version in this node's copy. If the copy doesn't
+// have all of them, it returns the whole table. A copy at version zero has nothing to
+// pass on.
 func (f *Feed) Changes(after uint64) Page {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	page := Page{Version: f.version, Whole: after < f.prunedVersion || restored(after, f.version)}
+	page := Page{Version: f.version, Since: after}
+	if after < f.history || f.unseen.contains(after) || restored(after, f.version) {
+		page.Whole, page.Since = true, 0
+	}
 	for _, key := range slices.Sorted(maps.Keys(f.rows)) {
-		if row := f.rows[key]; row.Version > after || page.Whole {
+		if row := f.rows[key]; page.Whole && !row.Removed || !page.Whole && row.Version > after {
 			page.Rows = append(page.Rows, row)
 		}
 	}
@@ -324,6 +341,8 @@
 
 // reset replaces the copy by a whole table, unless the copy is newer.
 func (f *Feed) reset(page Page) {
+	// A tombstone may be older than a row that was written and removed after it.
+	page.Rows = slices.DeleteFunc(page.Rows, func(row Row) bool { return row.Removed })
 	f.mu.Lock()
 	if page.Version < f.version {
 		f.mu.Unlock()
@@ -334,6 +353,7 @@
 		f.options.Scope.Counter("feed_restorations").Inc(1)
 		f.options.Logger.Warn("store was restored from a copy", "table", f.options.Table, "epoch", epoch.Version(page.Version).Epoch(), "had", f.version, "version", page.Version)
 	}
+	f.skipTo(page.Version)
 	f.listed, f.version = true, page.Version
 	listed := make(map[string]bool, len(page.Rows))
 	for _, row := range page.Rows {
@@ -353,6 +373,9 @@
 
 func (f *Feed) change(page Page) {
 	f.mu.Lock()
+	if f.version == 0 || page.Sender != "" {
+		f.skipTo(page.Version)
+	}
 	f.version = max(f.version, page.Version)
 	for _, row := range page.Rows {
 		if row.Version >= f.rows[row.Key].Version {
@@ -366,6 +389,19 @@
 	}
 }
 
+// skipTo records that the copy advances to a version without all changes up to it: those
+// of rows that were written and removed again are missing.
+func (f *Feed) skipTo(version uint64) {
+	if f.version == 0 {
+		f.history = version
+		return
+	}
+	if f.unseen.to <= f.history {
+		f.unseen.from = f.version
+	}
+	f.unseen.to = max(f.unseen.to, version)
+}
+
 // prune drops tombstones older than tombstoneAge.
 func (f *Feed) prune(now time.Time) {
 	for key, row := range f.rows {
@@ -376,7 +412,7 @@
 		case !known:
 			f.removedAt[key] = now
 		case now.Sub(at) > tombstoneAge:
-			f.prunedVersion = max(f.prunedVersion, row.Version)
+			f.history = max(f.history, row.Version)
 			delete(f.rows, key)
 			delete(f.removedAt, key)
 		}
--- a/internal/gate/feed/feed_test.go
+++ b/internal/gate/feed/feed_test.go
@@ -158,7 +158,8 @@
 		gone := feed.Row{Key: "a", Version: 6, Removed: true}
 		s := &source{lists: []answer{{page: page(3, row("a", 1), row("b", 2))}}, watches: []answer{{page: page(6, gone)}, {page: page(6)}}}
 		_, f := run(t, s, nil, 10*time.Second)
-		assert.Equal(t, feed.Page{Version: 6, Rows: []feed.Row{gone, row("b", 2)}}, f.Changes(0))
-		assert.Equal(t, []feed.Row{gone}, f.Changes(2).Rows)
+		assert.Equal(t, feed.Page{Version: 6, Rows: []feed.Row{row("b", 2)}, Whole: true}, f.Changes(0), "rows may have been removed before version 3")
+		assert.Equal(t, feed.Page{Version: 6, Rows: []feed.Row{row("b", 2)}, Whole: true}, f.Changes(2))
+		assert.Equal(t, feed.Page{Version: 6, Rows: []feed.Row{gone}, Since: 3}, f.Changes(3))
 	})
 }
--- a/internal/gate/feed/holes_test.go
+++ b/internal/gate/feed/holes_test.go
@@ -201,6 +201,7 @@
 func (c *copies) fetch(index int, after uint64) (feed.Page, error) {
 	time.Sleep(2 * time.Millisecond)
 	page := c.at(c.parentOf(index)).Changes(after)
+	page.Sender = "parent"
 	if page.Version == 0 {
 		return page, errUnavailable
 	}
@@ -228,7 +229,7 @@
 // TestCopiesHaveNoHoles guards against copies that lack changes which their version
 // covers, while nodes restart, follow each other and lose the store.
 func TestCopiesHaveNoHoles(t *testing.T) {
-	for seed := range uint64(120) {
+	for seed := range uint64(200) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { playCopies(t, seed) })
 		})
--- a/internal/gate/feed/nodes.go
+++ b/internal/gate/feed/nodes.go
@@ -25,8 +25,13 @@
 	f.storeAnswered()
 	f.apply(changes)
 	f.mu.Lock()
-	f.listed = true
+	current := f.version >= version
+	f.listed = f.listed || current
 	f.mu.Unlock()
+	if !current {
+		// Another node than the upstream answered, with an older copy.
+		return false
+	}
 	f.pausedAt = time.Time{}
 	select {
 	case <-ctx.Done():
@@ -69,6 +74,12 @@
 		f.options.Logger.Info("rows taken from a peer", "table", f.options.Table, "sender", page.Sender, "had", after, "rows", len(page.Rows),
 			"whole", page.Whole, "version", page.Version)
 	}
+	if !page.covers(f.Version()) {
+		f.options.Scope.Counter("feed_incomplete_pages").Inc(1)
+		f.options.Logger.Warn("rows of a peer ignored, since they lack changes", "table", f.options.Table, "sender", page.Sender, "had", after,
+			"since", page.Since, "version", page.Version)
+		return Page{}, false
+	}
 	page.Late, page.Unsure = f.missedChanges() || restored(f.Version(), page.Version), true
 	return page, true
 }
--- a/internal/gate/feed/upstream_test.go
+++ b/internal/gate/feed/upstream_test.go
@@ -90,7 +90,7 @@
 		}
 		_, f := run(t, s, nil, time.Minute)
 		assert.Equal(t, feed.Page{Version: 8, Whole: true, Rows: []feed.Row{row("b", 2), row("c", 8)}}, f.Changes(3), "the tombstone has been pruned")
-		assert.Equal(t, feed.Page{Version: 8, Rows: []feed.Row{row("c", 8)}}, f.Changes(6))
+		assert.Equal(t, feed.Page{Version: 8, Since: 6, Rows: []feed.Row{row("c", 8)}}, f.Changes(6))
 	})
 }
 
--- a/internal/gate/host/state.go
+++ b/internal/gate/host/state.go
@@ -394,10 +394,11 @@
 	h.picker.DropPeer(node)
 }
 
-// rows returns a table's changes for peers that can't reach the store.
+// rows returns a table's changes for peers that can't reach the store; false if this host
+// has no copy of it.
 func (h *Host) rows(name string, after uint64) (feed.Page, bool) {
 	f, ok := h.feeds[name]
-	if !ok {
+	if !ok || f.Version() == 0 {
 		return feed.Page{}, false
 	}
 	return f.Changes(after), true
--- a/internal/gate/peers/peers.go
+++ b/internal/gate/peers/peers.go
@@ -60,7 +60,7 @@
 	// messages include it, or none do.
 	DropLoad func(node string)
 	// Rows returns the changes after a version in this node's copy of a table;
-	// false for an unknown table.
+	// false for an unknown table, or without a copy.
 	Rows func(table string, after uint64) (feed.Page, bool)
 	// Tables returns how current this node's copies of the store's tables are.
 	Tables func() map[string]TableState
