Keep targets whose entries are gone only after an outage that is long enough

A host kept a target whose entry had been removed for 2 s more after any failed call, and after every whole list, counted from when it learned.

The feed now says which pages may lack rows that lapsed: those after failed calls, if the copy had not been confirmed for as long as an entry outlives its last write (two heartbeats of targets, less a tenth), after a suspension and after a restoration. A whole table by itself says nothing.

TestRowsLapseInOutagesOnly is new. Two new cases of TestTargetsMissingInLatePagesStay fail with the condition as it was; its other cases name the pages Lapsed, since Late now means for the ages of namings only.

--- a/internal/gate/feed/feed.go
+++ b/internal/gate/feed/feed.go
@@ -50,6 +50,9 @@
 	// Unsure is true when rows that aren't late may be older than Unwatched all the
 	// same: another node sent them, or they are the first after an outage.
 	Unsure bool `json:"-"`
+	// Lapsed is true when rows may be missing that lapsed in an outage of the store and
+	// will be written again.
+	Lapsed bool `json:"-"`
 	// Since is the version since which a page that isn't whole has all changes. A copy
 	// that is older can't be brought up to date by it.
 	Since uint64 `json:"since,omitempty"`
@@ -136,10 +139,13 @@
 	Upstream func(table string) (version uint64, age time.Duration, ok bool)
 	// HasChildren reports whether other nodes rely on this one. It may be nil.
 	HasChildren func() bool
-	// OnAvailable is called when the store answers again after failed calls, before the
-	// changes are applied. It may be nil. A single failed call is enough, unlike for
-	// [Feed.Unavailable]: rows may have expired in an outage shorter than outageDelay.
+	// OnAvailable is called when the store answers again after failed calls in which rows
+	// may have lapsed, before the changes are applied. It may be nil. A single failed call
+	// is enough, unlike for [Feed.Unavailable].
 	OnAvailable func()
+	// RowLife is how long a row stays after its writer could last renew it. Rows lapse in
+	// no outage that is shorter.
+	RowLife time.Duration
 	// Stalled reports whether this process has just not run for a while, so that a
 	// call may have failed without an outage. It may be nil.
 	Stalled func() bool
@@ -160,6 +166,8 @@
 	version uint64
 	// confirmedAt is when the store last confirmed the version.
 	confirmedAt time.Time
+	// currentAt is when this or the upstream node last had the store's confirmation.
+	currentAt time.Time
 	// removedAt is when each tombstone was added.
 	removedAt map[string]time.Time
 	// history is the version since which rows has all changes, except those in unseen.
@@ -292,12 +300,14 @@
 		if err != nil {
 			return false, err
 		}
+		page.Lapsed = f.mayHaveLapsed()
 		f.storeAnswered()
 		if restored(f.Version(), page.Version) {
-			f.offset = clockOffset{}
+			f.offset, page.Lapsed = clockOffset{}, true
 		}
 		f.offset.delay(time.Now(), time.Now(), page.Clock)
 		f.options.Logger.Info("table listed", "table", f.options.Table, "had", after, "rows", len(page.Rows), "version", page.Version)
+		page.Late = true
 		f.reset(page)
 		f.confirm()
 		return true, nil
@@ -320,7 +330,7 @@
 	if err != nil {
 		return false, err
 	}
-	page.Late, page.Unwatched, page.Unsure = f.missedChanges(), f.unwatched(began), f.Unavailable()
+	page.Late, page.Unwatched, page.Unsure, page.Lapsed = f.missedChanges(), f.unwatched(began), f.Unavailable(), f.mayHaveLapsed()
 	page.Unwatched += f.offset.delay(time.Now(), began, page.Clock)
 	f.storeAnswered()
 	f.change(page)
@@ -332,6 +342,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.confirmedAt = time.Now()
+	f.currentAt = f.confirmedAt
 }
 
 // restored reports whether the store was restored from a copy between two versions.
@@ -367,7 +378,6 @@
 	}
 	f.prune(time.Now())
 	f.mu.Unlock()
-	page.Late = true
 	f.options.Reset(page)
 }
 
@@ -426,6 +436,15 @@
 	return f.Version() == 0 || !f.failedSince.IsZero() && !outage
 }
 
+// mayHaveLapsed reports whether rows may have lapsed in an outage of the store since the
+// copy was current: calls fail, and have for as long as a row lives, or this node can't
+// tell since it was suspended.
+func (f *Feed) mayHaveLapsed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.failedSince.IsZero() && (f.stalled || time.Since(f.currentAt) >= f.options.RowLife)
+}
+
 // unwatched returns for how long this node did not watch the table before a watch that
 // has returned now; zero if the changes were made during the watch.
 func (f *Feed) unwatched(began time.Time) time.Duration {
@@ -457,9 +476,10 @@
 		return
 	}
 	f.options.Logger.Info("store regained", "table", f.options.Table, "version", f.Version(), "awayMs", time.Since(f.failedSince).Milliseconds())
+	lapsed := f.mayHaveLapsed()
 	f.failedSince, f.stalled = time.Time{}, false
 	f.unavailable.Store(false)
-	if f.options.OnAvailable != nil {
+	if lapsed && f.options.OnAvailable != nil {
 		f.options.OnAvailable()
 	}
 }
--- a/internal/gate/feed/nodes.go
+++ b/internal/gate/feed/nodes.go
@@ -26,7 +26,9 @@
 	f.apply(changes)
 	f.mu.Lock()
 	current := f.version >= version
-	f.listed = f.listed || current
+	if current {
+		f.listed, f.currentAt = true, time.Now().Add(-age)
+	}
 	f.mu.Unlock()
 	if !current {
 		// Another node than the upstream answered, with an older copy.
@@ -80,7 +82,8 @@
 			"since", page.Since, "version", page.Version)
 		return Page{}, false
 	}
-	page.Late, page.Unsure = f.missedChanges() || restored(f.Version(), page.Version), true
+	newEpoch := restored(f.Version(), page.Version)
+	page.Late, page.Unsure, page.Lapsed = f.missedChanges() || newEpoch, true, f.mayHaveLapsed() || newEpoch
 	return page, true
 }
 
--- a/internal/gate/feed/outage_test.go
+++ b/internal/gate/feed/outage_test.go
@@ -207,3 +207,81 @@
 		assert.Equal(t, map[string]bool{"a": true, "b": false, "c": true}, got)
 	})
 }
+
+// TestRowsLapseInOutagesOnly guards against requests to targets that had left: after one
+// failed call, and in every whole table of another node, their removal passed for one in
+// an outage, in which the entries of live targets lapse.
+func TestRowsLapseInOutagesOnly(t *testing.T) {
+	const life = 2 * time.Second
+	gone := page(4, feed.Row{Key: "b", Version: 4, Removed: true})
+	tests := map[string]struct {
+		// away is how long the store fails from one second after the start.
+		away time.Duration
+		// fromUpstream is true if the removal comes in the whole table of the upstream.
+		fromUpstream bool
+		want         bool
+	}{
+		"followed":                {},
+		"one failed call":         {away: 50 * time.Millisecond},
+		"a short outage":          {away: 800 * time.Millisecond},
+		"an outage":               {away: 2500 * time.Millisecond, want: true},
+		"a long outage":           {away: 10 * time.Second, want: true},
+		"whole table of upstream": {fromUpstream: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				began := time.Now()
+				s := &awaySource{began: began, away: test.away, change: gone, hides: test.fromUpstream}
+				regained, got := false, []bool{}
+				record := func(p feed.Page) {
+					if time.Since(began) > time.Second {
+						got = append(got, p.Lapsed)
+					}
+				}
+				options := feed.Options{
+					Table: "t", Source: s, RowLife: life, Reset: record, Change: record, Scope: tally.NoopScope, Logger: hclog.NewNullLogger(),
+					OnAvailable: func() { regained = true },
+				}
+				if test.fromUpstream {
+					options.Upstream = func(string) (uint64, time.Duration, bool) { return 4, 0, time.Since(began) > time.Second }
+					options.FetchFromPeer = func(context.Context, string, uint64) (feed.Page, error) {
+						return feed.Page{Version: 4, Whole: true, Sender: "parent", Rows: []feed.Row{row("a", 1)}}, nil
+					}
+				}
+				f := feed.New(options)
+				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+				defer cancel()
+				assert.Error(t, f.Serve(ctx))
+				assert.Equal(t, []bool{test.want}, got)
+				assert.Equal(t, test.want, regained)
+			})
+		})
+	}
+}
+
+// awaySource is a store whose watches return each half a second, that fails for a while
+// and has a change afterwards.
+type awaySource struct {
+	began  time.Time
+	away   time.Duration
+	change feed.Page
+	// hides is true if the change never comes.
+	hides bool
+}
+
+func (s *awaySource) List(context.Context, string) (feed.Page, error) {
+	return page(3, row("a", 1), row("b", 2)), nil
+}
+
+func (s *awaySource) Watch(_ context.Context, _ string, after uint64, wait time.Duration) (feed.Page, error) {
+	now := time.Since(s.began)
+	switch {
+	case now >= time.Second && now < time.Second+s.away:
+		return feed.Page{}, errUnavailable
+	case now >= time.Second+s.away && after < s.change.Version && !s.hides:
+		return s.change, nil
+	}
+	time.Sleep(min(wait, 500*time.Millisecond))
+	return page(after), nil
+}
--- a/internal/gate/host/host.go
+++ b/internal/gate/host/host.go
@@ -55,6 +55,8 @@
 	Seeds []string
 	// Strength is the host's CPU share, in cores.
 	Strength float64
+	// Heartbeat is the interval at which targets renew their entries.
+	Heartbeat time.Duration
 	// MemoryBytes is the memory limit of the process; zero means none.
 	MemoryBytes int64
 	// Bounds are the bounds that the platform's operators set.
@@ -224,11 +226,15 @@
 func (h *Host) addFeed(name string, reset, change func(feed.Page), onAvailable func()) {
 	h.feeds[name] = feed.New(feed.Options{
 		Table: name, Source: h.platform.Source, FetchFromPeer: h.peers.FetchRows, Reset: reset, Change: change, OnAvailable: onAvailable,
-		Upstream: h.upstream, HasChildren: h.peers.HasChildren, Stalled: h.observeClocks,
+		Upstream: h.upstream, HasChildren: h.peers.HasChildren, Stalled: h.observeClocks, RowLife: rowLife(h.settings.Heartbeat),
 		Scope: h.meter.Scope(), Logger: h.logger,
 	})
 }
 
+// rowLife returns how long a target's entry outlives an outage at least, with a tenth to
+// spare: it lapses after three intervals, and the last write is up to one of them old.
+func rowLife(heartbeat time.Duration) time.Duration { return 2 * heartbeat * 9 / 10 }
+
 // SetBounds replaces the bounds.
 func (h *Host) SetBounds(bounds Bounds) {
 	h.bounds.Store(&bounds)
--- a/internal/gate/host/missing_test.go
+++ b/internal/gate/host/missing_test.go
@@ -29,7 +29,8 @@
 func (h *Host) targetNames() []string { return slices.Sorted(maps.Keys(h.listedTargets())) }
 
 // TestTargetsMissingInLatePagesStay guards against live targets that were dropped because
-// another host told of their entries' end while this host's own calls to the store failed.
+// another host told of their entries' end while this host's own calls to the store failed,
+// and against requests to targets that had left, for the grace of those.
 func TestTargetsMissingInLatePagesStay(t *testing.T) {
 	tests := map[string]struct {
 		page feed.Page
@@ -38,9 +39,11 @@
 		// soon are the targets one second later.
 		soon []string
 	}{
-		"change while the table is followed": {feed.Page{Rows: []feed.Row{{Key: "e", Version: 4, Removed: true}}}, false, []string{"f"}},
-		"change after a gap":                 {feed.Page{Late: true, Rows: []feed.Row{{Key: "e", Version: 4, Removed: true}}}, false, []string{"e", "f"}},
-		"whole table after a gap":            {feed.Page{Late: true, Version: 4, Rows: []feed.Row{{Key: "f", Version: 1}}}, true, []string{"e", "f"}},
+		"change while the table is followed":   {feed.Page{Rows: []feed.Row{{Key: "e", Version: 4, Removed: true}}}, false, []string{"f"}},
+		"change after a gap without an outage": {feed.Page{Late: true, Rows: []feed.Row{{Key: "e", Version: 4, Removed: true}}}, false, []string{"f"}},
+		"whole table without an outage":        {feed.Page{Late: true, Version: 4, Rows: []feed.Row{{Key: "f", Version: 1}}}, true, []string{"f"}},
+		"change after an outage":               {feed.Page{Lapsed: true, Rows: []feed.Row{{Key: "e", Version: 4, Removed: true}}}, false, []string{"e", "f"}},
+		"whole table after an outage":          {feed.Page{Lapsed: true, Version: 4, Rows: []feed.Row{{Key: "f", Version: 1}}}, true, []string{"e", "f"}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/gate/host/targets.go
+++ b/internal/gate/host/targets.go
@@ -35,11 +35,11 @@
 	h.publishTargets()
 }
 
-// keepMissing keeps targets for a while whose entries a page removes, if this host had
-// not followed the table: the entries may have expired while the store was unavailable.
-// Dropping a live target would cost its capacity and blame its requests for a crash.
+// keepMissing keeps targets for a while whose entries a page removes, if these may have
+// lapsed while the store was unavailable. Dropping a live target would cost its capacity
+// and blame its requests for a crash.
 func (h *Host) keepMissing(now time.Time, page feed.Page) {
-	if !page.Late || !h.targetsListed.Load() {
+	if !page.Lapsed || !h.targetsListed.Load() {
 		return
 	}
 	h.mu.Lock()
