Ask once more before the first byte whether the target still takes requests

Cause: a target is chosen once. With all connections of a host's share taken the request then waits in the pool for as long as the streams before it last, and nothing asked again.

The guard of the first byte asks whether the chosen start of the target still takes requests. When the list changes, requests that wait for a target that no longer does move on at once; as they were held back here, that takes no retry of the quota.

--- a/internal/gate/host/targets.go
+++ b/internal/gate/host/targets.go
@@ -84,6 +84,7 @@
 	h.mu.Unlock()
 	h.targets.Store(&targets)
 	h.pool.Keep(targets)
+	h.proxy.CancelUnsent()
 	h.refreshReady()
 }
 
--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -44,7 +44,12 @@
 
 // notRun means that the request certainly did not run at the target, so that
 // sending it again is safe.
-type notRun struct{ reason string }
+type notRun struct {
+	reason string
+	// held is true if this node held the request back, so that another attempt is no
+	// retry.
+	held bool
+}
 
 // broken means that the request may have run, and that the target gave no
 // complete successful response.
@@ -80,6 +85,7 @@
 			return
 		}
 		var reason string
+		held := false
 		switch r := h.send(ctx, client, w, j, d).(type) {
 		case done:
 			h.finished(j, r.status)
@@ -88,7 +94,7 @@
 			h.clientLeft(j)
 			return
 		case notRun:
-			reason = r.reason
+			reason, held = r.reason, r.held
 		case broken:
 			reason = r.reason
 			if !h.mayRetry(j, r) {
@@ -97,7 +103,7 @@
 			}
 		}
 		j.excluded = append(j.excluded, d.Target.ID)
-		if j.sent >= maxSends || !h.takeRetry(j.service.Name) {
+		if j.sent >= maxSends || !held && !h.takeRetry(j.service.Name) {
 			h.conclude(client, w, j, h.exhausted(j, reason))
 			return
 		}
@@ -193,8 +199,8 @@
 	// cancelled is true if [Handler.CancelReplaced] or [Handler.CancelDeadly] cancelled the
 	// attempt, silent if its headers took too long.
 	cancelled, silent atomic.Bool
-	// leavingBefore is true if the target was leaving, or gone, when the request was
-	// about to be written to it.
+	// leavingBefore is true if the request was not sent since the target was leaving, or
+	// gone, before its first byte.
 	leavingBefore atomic.Bool
 }
 
@@ -209,9 +215,14 @@
 	defer cancel()
 	s := &attempt{job: j, chosen: d, began: time.Now(), cancel: cancel, end: pick.Cancelled}
 	s.guard = egress.New(func() error {
-		s.leavingBefore.Store(!h.takesRequests(d.Target))
+		if !h.takesRequests(d.Target) {
+			s.leavingBefore.Store(true)
+			return errTargetLeft
+		}
 		return ctx.Err()
 	})
+	h.running.add(s)
+	defer h.running.remove(s)
 	h.options.Lock.Lock()
 	s.run = h.options.Picker.Start(s.began, j.request(s.began), d)
 	h.options.Lock.Unlock()
@@ -310,6 +321,8 @@
 	switch {
 	case client.Err() != nil:
 		return clientGone{}
+	case s.leavingBefore.Load():
+		return notRun{reason: errTargetLeft.Error(), held: true}
 	case s.cancelled.Load():
 		if !s.guard.Sent() {
 			return notRun{reason: notBegun}
@@ -363,7 +376,7 @@
 // it may be retried, when they take much longer than expected; in any case when the
 // target's weights may no longer answer. The returned function ends that.
 func (h *Handler) cancelUnbegun(s *attempt) func() {
-	h.unbegun.add(s)
+	h.addUnbegun(s)
 	j, stop := s.job, func() {}
 	if j.mayRunAgain() {
 		silent := time.AfterFunc(max(2*j.route.Objective, 3*s.chosen.Expected), func() {
--- a/internal/gate/proxy/proxy.go
+++ b/internal/gate/proxy/proxy.go
@@ -76,7 +76,9 @@
 	options Options
 	meters  meters
 	random  func() float64
-	unbegun unbegun
+	// unbegun are the attempts of model requests whose response headers haven't arrived,
+	// running all attempts, some of which wait for a connection.
+	unbegun, running attempts
 
 	mu     sync.Mutex
 	quotas map[string]*quota.Quota
@@ -89,7 +91,8 @@
 //	server := limit.Server(proxy.New(options), limits)
 func New(options Options) *Handler {
 	return &Handler{
-		options: options, meters: newMeters(options.Scope), random: random(), unbegun: unbegun{attempts: map[*attempt]struct{}{}},
+		options: options, meters: newMeters(options.Scope), random: random(),
+		unbegun: attempts{set: map[*attempt]struct{}{}}, running: attempts{set: map[*attempt]struct{}{}},
 		quotas: map[string]*quota.Quota{}, idle: make(chan struct{}, 1),
 	}
 }
--- a/internal/gate/proxy/proxy_test.go
+++ b/internal/gate/proxy/proxy_test.go
@@ -171,6 +171,8 @@
 	// crashed is true while targets refuse connections.
 	crashed atomic.Bool
 	nodes   int
+	// addresses are those of the targets by ID.
+	addresses map[string]string
 }
 
 func (w *fixture) Nodes() int { return w.nodes }
@@ -198,7 +200,7 @@
 // unreachable.
 func newFixture(t *testing.T, targets []target, options ...option) *fixture {
 	t.Helper()
-	w := &fixture{ended: make(chan struct{}, 16), nodes: 1}
+	w := &fixture{ended: make(chan struct{}, 16), nodes: 1, addresses: map[string]string{}}
 	list := map[string]roster.Target{}
 	for i, serve := range targets {
 		address := "127.0.0.1:1"
@@ -216,6 +218,7 @@
 			address = server.Listener.Addr().String()
 		}
 		id := fmt.Sprint("t", i)
+		w.addresses[id] = address
 		list[id] = roster.Target{ID: id, Born: 1, Service: "app", Address: address, Slots: 8}
 	}
 	w.deadly = deadly.New(deadly.Options{
--- a/internal/gate/proxy/unbegun.go
+++ b/internal/gate/proxy/unbegun.go
@@ -1,14 +1,34 @@
 package proxy
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
 
-// unbegun are the attempts of model requests whose response headers haven't arrived.
-type unbegun struct {
-	mu       sync.Mutex
-	attempts map[*attempt]struct{}
+// attempts is a set of attempts in progress.
+type attempts struct {
+	mu  sync.Mutex
+	set map[*attempt]struct{}
+}
+
+func (a *attempts) add(s *attempt) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.set[s] = struct{}{}
+}
+
+func (a *attempts) remove(s *attempt) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.set, s)
+}
+
+func (a *attempts) all() []*attempt {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Collect(maps.Keys(a.set))
 }
 
 // mayRunAgain reports whether another attempt is allowed if the next one runs.
@@ -16,34 +36,26 @@
 	return j.route.Idempotent() && j.ran+1 < max(j.route.Attempts, 1)
 }
 
-// add adds an attempt of a model request. A request starts to run with its first token,
-// at which a stream's headers arrive; those of other responses arrive when it has ended.
-// Without headers such a request may have begun, so that it is added only if it may run
-// again.
-func (u *unbegun) add(s *attempt) {
+// addUnbegun adds an attempt of a model request to those whose response headers haven't
+// arrived. A request starts to run with its first token, at which a stream's headers
+// arrive; those of other responses arrive when it has ended. Without headers such a
+// request may have begun, so that it is added only if it may run again.
+func (h *Handler) addUnbegun(s *attempt) {
 	if s.job.call.Prompt.Model == "" || s.job.route.Kind != streamKind && !s.job.mayRunAgain() {
 		return
 	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.attempts[s] = struct{}{}
-}
-
-func (u *unbegun) remove(s *attempt) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	delete(u.attempts, s)
+	h.unbegun.add(s)
 }
 
 // cancel cancels the attempts for which mayBegin returns false.
-func (u *unbegun) cancel(mayBegin func(*attempt) bool) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	for s := range u.attempts {
+func (a *attempts) cancel(mayBegin func(*attempt) bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for s := range a.set {
 		if !mayBegin(s) {
 			s.cancelled.Store(true)
 			s.cancel()
-			delete(u.attempts, s)
+			delete(a.set, s)
 		}
 	}
 }
--- a/internal/target/egress/guard.go
+++ b/internal/target/egress/guard.go
@@ -50,6 +50,18 @@
 	return g.used != nil
 }
 
+// Stop prevents the request from being sent, with the error that its connection returns.
+// It returns false if a byte may have been sent.
+func (g *Guard) Stop(err error) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.used != nil {
+		return false
+	}
+	g.check = func() error { return err }
+	return true
+}
+
 // Retire makes the connection on which the request was sent its last one.
 func (g *Guard) Retire() {
 	g.mu.Lock()
