--- /dev/null
+++ b/internal/gate/proxy/export_test.go
@@ -0,0 +1,9 @@
+package proxy
+
+// CancelWaiting cancels the attempts without response headers once wait returns.
+func (h *Handler) CancelWaiting(wait func()) {
+	h.unbegun.cancel(func(*attempt) bool {
+		wait()
+		return false
+	})
+}
