Never cancel an attempt whose headers have arrived

Cause: an attempt was cancelled by a timer, or for replaced weights or crashes, while its headers arrived. The host went on with the answer under a context that had ended: what lay in the connection's buffer went to the client, the rest was lost, and with every other target overloaded nothing took the stream over. A busy processor makes the window wide, since the goroutine that gets the headers runs late.

An attempt now changes once from waiting to begun or to cancelled (package proxy, phase). What was cancelled forwards nothing and ends as an attempt without an answer; what has begun is not cancelled. The cause of a cancellation is in the log.

--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -196,9 +196,7 @@
 	// answer.
 	survived bool
 	end      pick.Outcome
-	// cancelled is true if [Handler.CancelReplaced] or [Handler.CancelDeadly] cancelled the
-	// attempt, silent if its headers took too long.
-	cancelled, silent atomic.Bool
+	phase    phase
 	// leavingBefore is true if the request was not sent since the target was leaving, or
 	// gone, before its first byte.
 	leavingBefore atomic.Bool
@@ -271,6 +269,9 @@
 		return h.classifyError(client, s, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if !s.phase.begin() {
+		return h.classifyError(client, s, context.Canceled)
+	}
 	s.headersAt = time.Now()
 	head := h.options.Codec.DecodeHeader(response.StatusCode, response.Header)
 	h.observeNeeds(s, head)
@@ -312,10 +313,6 @@
 	h.options.OnNeeds(s.chosen.Target, sent, head.Needs)
 }
 
-// notBegun is the reason of attempts that [Handler.CancelReplaced] or
-// [Handler.CancelDeadly] cancelled.
-const notBegun = "not begun while it was allowed to"
-
 // classifyError classifies an error that occurred before the response headers.
 func (h *Handler) classifyError(client context.Context, s *attempt, err error) result {
 	switch {
@@ -323,11 +320,14 @@
 		return clientGone{}
 	case s.leavingBefore.Load():
 		return notRun{reason: errTargetLeft.Error(), held: true}
-	case s.cancelled.Load():
+	case s.phase.cause() != 0:
+		if s.phase.cause() == silentTarget {
+			s.end = pick.Unreachable
+		}
 		if !s.guard.Sent() {
-			return notRun{reason: notBegun}
+			return notRun{reason: s.phase.cause().String()}
 		}
-		return broken{reason: notBegun}
+		return broken{reason: s.phase.cause().String()}
 	case !s.guard.Sent():
 		s.end = pick.Unreachable
 		return notRun{reason: "not reached: " + reasonOf(err)}
@@ -379,10 +379,7 @@
 	h.addUnbegun(s)
 	j, stop := s.job, func() {}
 	if j.mayRunAgain() {
-		silent := time.AfterFunc(max(2*j.route.Objective, 3*s.chosen.Expected), func() {
-			s.silent.Store(true)
-			s.cancel()
-		})
+		silent := time.AfterFunc(max(2*j.route.Objective, 3*s.chosen.Expected), func() { s.cancelWaiting(silentTarget) })
 		stop = func() { silent.Stop() }
 	}
 	return func() {
--- a/internal/gate/proxy/unbegun.go
+++ b/internal/gate/proxy/unbegun.go
@@ -47,14 +47,14 @@
 	h.unbegun.add(s)
 }
 
-// cancel cancels the attempts for which mayBegin returns false.
-func (a *attempts) cancel(mayBegin func(*attempt) bool) {
+// cancel cancels the attempts for which mayBegin returns false, and that still wait for
+// their headers.
+func (a *attempts) cancel(why cause, mayBegin func(*attempt) bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for s := range a.set {
 		if !mayBegin(s) {
-			s.cancelled.Store(true)
-			s.cancel()
+			s.cancelWaiting(why)
 			delete(a.set, s)
 		}
 	}
@@ -68,7 +68,7 @@
 	oldest := h.options.Picker.MinBeginVersions(now)
 	h.options.Lock.Unlock()
 	if len(oldest) > 0 {
-		h.unbegun.cancel(func(s *attempt) bool { return s.chosen.Version >= oldest[s.job.call.Prompt.Model] })
+		h.unbegun.cancel(replacedWeights, func(s *attempt) bool { return s.chosen.Version >= oldest[s.job.call.Prompt.Model] })
 	}
 }
 
@@ -78,5 +78,5 @@
 	if !h.options.Deadly.RefusesAny(now) {
 		return
 	}
-	h.unbegun.cancel(func(s *attempt) bool { return s.job.trial || !h.options.Deadly.Refused(now, s.job.features) })
+	h.unbegun.cancel(deadlyRequest, func(s *attempt) bool { return s.job.trial || !h.options.Deadly.Refused(now, s.job.features) })
 }
