Give a silent target up only when another one takes the request

Cause: silence ended the attempt first, and the next target was sought afterwards. Now a target that takes the request and a retry of the quota are found first; while there are none the request stays until its deadline. The next attempt goes to the target that was found.

TestSilenceEndsNoAnswer failed before for a single target and for used up retries (502); another target still takes over, as before.

--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -76,7 +76,7 @@
 // further attempt is allowed.
 func (h *Handler) run(ctx, client context.Context, w http.ResponseWriter, j *job) {
 	for {
-		d, err := h.choose(ctx, j)
+		d, err := h.next(ctx, j)
 		if err == nil {
 			err = h.checkDeadly(j)
 		}
@@ -103,7 +103,7 @@
 			}
 		}
 		j.excluded = append(j.excluded, d.Target.ID)
-		if j.sent >= maxSends || !held && !h.takeRetry(j.service.Name) {
+		if j.sent >= maxSends || !held && j.successor == nil && !h.takeRetry(j.service.Name) {
 			h.conclude(client, w, j, h.exhausted(j, reason))
 			return
 		}
@@ -262,7 +262,7 @@
 // forwards the response or classifies the failure.
 func (h *Handler) exchange(ctx, client context.Context, w http.ResponseWriter, s *attempt, timeLeft time.Duration) result {
 	request := h.encode(ctx, s, timeLeft)
-	stop := h.cancelUnbegun(s)
+	stop := h.cancelUnbegun(ctx, s)
 	response, err := h.options.Pool.Send(request, s.chosen.Target, h.connShare(s.job), s.guard)
 	stop()
 	if err != nil {
@@ -372,19 +372,27 @@
 	return j.service.MaxConns / max(h.options.Fleet.Nodes(), 1)
 }
 
-// cancelUnbegun lets an attempt whose response headers take too long be cancelled: if
-// it may be retried, when they take much longer than expected; in any case when the
-// target's weights may no longer answer. The returned function ends that.
-func (h *Handler) cancelUnbegun(s *attempt) func() {
+// cancelUnbegun lets an attempt be cancelled until its response headers arrive: if it may
+// be retried, when they take much longer than expected and another target takes the
+// request; in any case when the target's weights may no longer answer. The returned
+// function ends that.
+func (h *Handler) cancelUnbegun(ctx context.Context, s *attempt) func() {
 	h.addUnbegun(s)
-	j, stop := s.job, func() {}
-	if j.mayRunAgain() {
-		silent := time.AfterFunc(max(2*j.route.Objective, 3*s.chosen.Expected), func() { s.cancelWaiting(silentTarget) })
-		stop = func() { silent.Stop() }
+	if !s.job.mayRunAgain() {
+		return func() { h.unbegun.remove(s) }
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	silent := time.AfterFunc(max(2*s.job.route.Objective, 3*s.chosen.Expected), func() {
+		defer close(ended)
+		h.replaceSilent(ctx, s)
+	})
 	return func() {
 		h.unbegun.remove(s)
-		stop()
+		cancel()
+		if !silent.Stop() {
+			<-ended
+		}
 	}
 }
 
--- a/internal/gate/proxy/proxy.go
+++ b/internal/gate/proxy/proxy.go
@@ -167,6 +167,9 @@
 	// ran is the number of attempts that may have run at the target, sent the
 	// number of all attempts.
 	ran, sent int
+	// successor is the target that takes the request over from a silent one. Its retry has
+	// been taken from the quota.
+	successor *pick.Dispatch
 	// trial is true if the request is sent although requests like it are refused.
 	trial bool
 	// stream is how much of a streamed response the client has received.
