Reject what a stopping host can't finish, and answer what is left at the end

Callers of a host that stopped as planned could have their request taken late in the grace period, passed on, and its connection closed without an answer at the end, also where it may run once only (seen on systems like ours; it can happen here).

Cause: new requests were rejected 2.7 s after the lease for orders had been released, for which the store has to answer: 3.7 s and more after the SIGTERM while it is slow or silent. Requests whose body came late, or that waited for a target or a connection, were passed on however late. At the end connections were closed on handlers that had sent nothing.

The time to reject counts from the SIGTERM; the release goes on beside. From then on nothing is sent to a target that has not been sent before: it is answered 503 at once, with the time to come back. At the end of the grace the requests that still run get an answer which says that they may have run, and streams are broken off.

--- a/internal/gate/host/drain.go
+++ b/internal/gate/host/drain.go
@@ -49,37 +49,54 @@
 	return &connectionCloser{next: next, host: h}
 }
 
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func (h *Host) stopping() bool { return h.stop.started.Load() }
 
 // drain stops the host and lets requests in progress complete within the grace
-// period. It first fails readiness and waits until this host no longer sends orders.
-// It closes connections once the load balancer no longer sends requests.
+// period. It first fails readiness. Once the load balancer no longer sends requests, it
+// rejects what has not been sent to a target and closes connections. It tells other hosts
+// that it leaves when it no longer sends orders.
 func (h *Host) drain(ctx context.Context, ordersDone <-chan error) {
-	end := time.Now().Add(h.bounds.Load().Grace - exitMargin)
+	began := time.Now()
+	end := began.Add(h.bounds.Load().Grace - exitMargin)
+	reject := time.After(time.Until(minTime(began.Add(balancerLag), end)))
 	h.stop.started.Store(true)
 	h.ready.Store(false)
 	h.logger.Info("stopping", "requests", h.proxy.Active())
-	<-ordersDone
-	h.peers.Leave()
-	lag := time.NewTimer(balancerLag)
-	defer lag.Stop()
-	select {
-	case <-lag.C:
-	case <-time.After(time.Until(end)):
+	for waiting := true; waiting; {
+		select {
+		case <-ordersDone:
+			h.peers.Leave()
+			ordersDone = nil
+		case <-reject:
+			waiting = false
+		}
 	}
 	h.stop.rejecting.Store(true)
+	h.proxy.CancelUnsent()
+	h.logger.Info("rejecting requests", "requests", h.proxy.Active(), "afterMs", time.Since(began).Milliseconds())
 	for time.Now().Before(end) {
 		h.server.Close()
-		if h.proxy.Active() == 0 {
+		if h.proxy.Active() == 0 && ordersDone == nil {
 			break
 		}
 		select {
+		case <-ordersDone:
+			h.peers.Leave()
+			ordersDone = nil
 		case <-h.proxy.Idle():
 		case <-time.After(closeInterval):
 		}
 	}
 	if left := h.proxy.Active(); left > 0 {
-		h.logger.Warn("requests cut off at the end of the grace period", "requests", left)
+		h.logger.Warn("requests ended at the end of the grace period", "requests", left)
+		h.proxy.End()
 	}
 	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
 	defer cancel()
--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -77,7 +77,10 @@
 func (h *Handler) run(ctx, client context.Context, w http.ResponseWriter, j *job) {
 	for {
 		d, err := h.next(ctx, j)
-		if err == nil {
+		switch {
+		case h.ended.Err() != nil || h.stopping() && j.ran == 0:
+			err = stopRefusal()
+		case err == nil:
 			err = h.checkDeadly(j)
 		}
 		if err != nil {
@@ -152,6 +155,9 @@
 	began := time.Now()
 	maxWait := min(j.route.Objective, time.Until(j.deadline)/2)
 	for {
+		if h.stopping() && j.ran == 0 {
+			return pick.Dispatch{}, stopRefusal()
+		}
 		now := time.Now()
 		h.options.Lock.Lock()
 		decision := h.options.Picker.Choose(now, j.request(now))
@@ -197,9 +203,11 @@
 	survived bool
 	end      pick.Outcome
 	phase    phase
-	// leavingBefore is true if the request was not sent since the target was leaving, or
-	// gone, before its first byte.
-	leavingBefore atomic.Bool
+	// mayHaveRun is true if an attempt before this one may have run.
+	mayHaveRun bool
+	// held is true if the request was held back before its first byte; see
+	// [Handler.CancelUnsent].
+	held atomic.Bool
 }
 
 // send makes one attempt: it sends a request to a target, forwards the response
@@ -211,11 +219,11 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s := &attempt{job: j, chosen: d, began: time.Now(), cancel: cancel, end: pick.Cancelled}
+	s := &attempt{job: j, chosen: d, mayHaveRun: j.ran > 0, began: time.Now(), cancel: cancel, end: pick.Cancelled}
 	s.guard = egress.New(func() error {
-		if !h.takesRequests(d.Target) {
-			s.leavingBefore.Store(true)
-			return errTargetLeft
+		if err := h.mayLeave(s); err != nil {
+			s.held.Store(true)
+			return err
 		}
 		return ctx.Err()
 	})
@@ -318,8 +326,8 @@
 	switch {
 	case client.Err() != nil:
 		return clientGone{}
-	case s.leavingBefore.Load():
-		return notRun{reason: errTargetLeft.Error(), held: true}
+	case s.held.Load():
+		return notRun{reason: "held back", held: true}
 	case s.phase.cause() != 0:
 		if s.phase.cause() == silentTarget {
 			s.end = pick.Unreachable
--- a/internal/gate/proxy/log.go
+++ b/internal/gate/proxy/log.go
@@ -28,7 +28,7 @@
 		"running", d.Load.Running, "prefill", d.Load.Prefill, "ageMs", d.Age.Milliseconds(), "slowness", d.Slowness, "expectedMs", d.Expected.Milliseconds(),
 		"config", s.job.plan.Version, "sending", s.job.sent, "lastEvent", s.job.stream.last,
 		"firstMs", s.first.Milliseconds(), "tookMs", time.Since(s.began).Milliseconds(), "leftMs", time.Until(s.job.deadline).Milliseconds(),
-		"leavingBefore", s.leavingBefore.Load(), "cancelled", s.phase.cause().String(), "outcome", outcome, "reason", reason)
+		"held", s.held.Load(), "cancelled", s.phase.cause().String(), "outcome", outcome, "reason", reason)
 }
 
 // logBroken logs what may have crashed the target of an attempt whose connection broke.
--- a/internal/gate/proxy/proxy.go
+++ b/internal/gate/proxy/proxy.go
@@ -84,14 +84,19 @@
 	quotas map[string]*quota.Quota
 	active int
 	idle   chan struct{}
+
+	// ended ends all requests; end cancels it.
+	ended context.Context
+	end   context.CancelFunc
 }
 
 // New returns a handler.
 //
 //	server := limit.Server(proxy.New(options), limits)
 func New(options Options) *Handler {
+	ended, end := context.WithCancel(context.Background())
 	return &Handler{
-		options: options, meters: newMeters(options.Scope), random: random(),
+		ended: ended, end: end, options: options, meters: newMeters(options.Scope), random: random(),
 		unbegun: attempts{set: map[*attempt]struct{}{}}, running: attempts{set: map[*attempt]struct{}{}},
 		quotas: map[string]*quota.Quota{}, idle: make(chan struct{}, 1),
 	}
@@ -100,7 +105,7 @@
 // ServeHTTP implements [http.Handler].
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.begin()
-	defer h.end()
+	defer h.finish()
 	j, err := h.prepare(r)
 	if err != nil {
 		h.refuse(w, j, err)
@@ -108,9 +113,24 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
 	defer cancel()
+	defer context.AfterFunc(h.ended, cancel)()
 	h.run(ctx, r.Context(), w, j)
 }
 
+// End ends all requests in progress: those without an answer get one that says whether
+// they have run, streams that have begun are broken off. It is for the end of the time in
+// which the process must stop.
+func (h *Handler) End() { h.end() }
+
+// stopping reports whether requests that have not been sent might not finish before the
+// process exits.
+func (h *Handler) stopping() bool { return h.options.Stopping != nil && h.options.Stopping() }
+
+// stopRefusal rejects a request that has not been sent, since the process stops.
+func stopRefusal() error {
+	return refusal("stopping", http.StatusServiceUnavailable, "this host stops, others serve", stopRetryAfter)
+}
+
 // Active returns the number of requests in progress.
 func (h *Handler) Active() int {
 	h.mu.Lock()
@@ -138,7 +158,7 @@
 	h.active++
 }
 
-func (h *Handler) end() {
+func (h *Handler) finish() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.active--
@@ -195,8 +215,8 @@
 	if err != nil {
 		return j, refusal("badRequest", http.StatusBadRequest, err.Error(), 0)
 	}
-	if h.options.Stopping != nil && h.options.Stopping() {
-		return j, refusal("stopping", http.StatusServiceUnavailable, "this host stops, others serve", stopRetryAfter)
+	if h.stopping() {
+		return j, stopRefusal()
 	}
 	if j.plan == nil {
 		return j, refusal("noConfiguration", http.StatusServiceUnavailable, "this node has no configuration yet", startRetryAfter)
