Judge an answer before its connection sends the next request

Cause: net/http hands a connection on once an answer without a body is in, before its caller has seen it. The write of the next request and the retirement of the connection raced; the copy then passed for the refusal of the next request.

The guarded connection waits with the first byte of a request until the answer to the one before has been judged (egress.NewJudged). Every answer that doesn't name its request, or isn't the target's, retires its connection; the client then writes the waiting request to another one, as nothing of it has been sent.

--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -220,13 +220,14 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s := &attempt{job: j, chosen: d, mayHaveRun: j.ran > 0, began: time.Now(), cancel: cancel, end: pick.Cancelled}
-	s.guard = egress.New(func() error {
+	s.guard = egress.NewJudged(func() error {
 		if err := h.mayLeave(s); err != nil {
 			s.held.Store(true)
 			return err
 		}
 		return ctx.Err()
 	})
+	defer s.guard.Judge()
 	h.running.add(s)
 	defer h.running.remove(s)
 	h.options.Lock.Lock()
@@ -286,16 +287,17 @@
 	if head.WeightVersion > 0 && head.ID == s.job.call.ID {
 		h.options.OnVersion(s.chosen.Target.ID, s.job.call.Prompt.Model, head.WeightVersion)
 	}
+	refused := head.NotRun || head.Misdirected
+	if head.ID != s.job.call.ID || !refused && !head.Signed {
+		// A late copy of this answer would pass for the one to the next request.
+		s.guard.Retire()
+	}
+	s.guard.Judge()
 	switch {
 	case head.ID != "" && head.ID != s.job.call.ID:
 		s.end = pick.Failed
 		return broken{reason: "answer to another request"}
-	case head.NotRun || head.Misdirected:
-		if head.ID == "" {
-			// A late copy of this refusal names no request either, and would pass for
-			// the answer to the next one on the connection.
-			s.guard.Retire()
-		}
+	case refused:
 		s.end = pick.Rejected
 		return notRun{reason: "refused with " + strconv.Itoa(response.StatusCode)}
 	case !head.Signed || head.ID == "":
--- a/internal/target/egress/guard.go
+++ b/internal/target/egress/guard.go
@@ -32,6 +32,9 @@
 	check func() error
 	mu    sync.Mutex
 	used  *guardedConn // the connection on which the request was sent
+	// judged is closed once the answer has been judged; nil if nobody judges it.
+	judged chan struct{}
+	judge  sync.Once
 }
 
 // New returns a guard for one request. The check runs right before the first
@@ -43,6 +46,21 @@
 //	mayHaveRun := guard.Sent()
 func New(check func() error) *Guard { return &Guard{check: check} }
 
+// NewJudged returns a guard for one request whose connection sends no further request
+// until [Guard.Judge] is called: the HTTP client hands a connection on before its caller
+// has seen the answer.
+func NewJudged(check func() error) *Guard {
+	return &Guard{check: check, judged: make(chan struct{})}
+}
+
+// Judge lets the connection send further requests, unless [Guard.Retire] was called. It
+// must be called for each guard of [NewJudged], more than once does no harm.
+func (g *Guard) Judge() {
+	if g.judged != nil {
+		g.judge.Do(func() { close(g.judged) })
+	}
+}
+
 // Sent reports whether any byte of the request may have been sent.
 func (g *Guard) Sent() bool {
 	g.mu.Lock()
@@ -115,6 +133,9 @@
 type guardedConn struct {
 	net.Conn
 	guard atomic.Pointer[Guard]
+	// written is the guard of the request that was written last. Only Write uses it,
+	// which the HTTP client calls for one request after the other.
+	written *Guard
 	// last is the guard of the last request; nil if further ones may follow.
 	last atomic.Pointer[Guard]
 }
@@ -122,6 +143,12 @@
 // Write implements [net.Conn].
 func (c *guardedConn) Write(data []byte) (int, error) {
 	guard := c.guard.Load()
+	if c.written != guard {
+		if c.written != nil && c.written.judged != nil {
+			<-c.written.judged
+		}
+		c.written = guard
+	}
 	if last := c.last.Load(); last != nil && guard != last {
 		return 0, errRetired
 	}
