Pass paths that begin with two slashes on as they are

Cause: the path went into the opaque part of the URL, to which net/http adds the scheme if it begins with two slashes. Such paths now go into the raw path. What net/http can't write unchanged, or is no path, is rejected with 400 and not passed on: two slashes with characters that a URI doesn't have, fragments, absolute and authority forms, and '*'. OPTIONS * was answered 200 by net/http itself and now comes to the handler.

--- a/internal/entry/limit/limit.go
+++ b/internal/entry/limit/limit.go
@@ -28,11 +28,13 @@
 func Server(handler http.Handler, limits local.Limits) *http.Server {
 	limits = limits.WithDefaults()
 	return &http.Server{
-		Handler:           &limitHandler{next: handler, limits: limits},
-		ReadHeaderTimeout: limits.HeaderTimeout(),
-		IdleTimeout:       limits.IdleTimeout(),
-		MaxHeaderBytes:    limits.HeaderBytes,
-		ConnContext:       withConn,
+		Handler: &limitHandler{next: handler, limits: limits},
+		// The handler also gets OPTIONS *, which net/http would answer itself.
+		DisableGeneralOptionsHandler: true,
+		ReadHeaderTimeout:            limits.HeaderTimeout(),
+		IdleTimeout:                  limits.IdleTimeout(),
+		MaxHeaderBytes:               limits.HeaderBytes,
+		ConnContext:                  withConn,
 	}
 }
 
--- a/internal/entry/limit/limit_test.go
+++ b/internal/entry/limit/limit_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -144,3 +145,18 @@
 		}
 	}
 }
+
+// TestHandlerGetsEveryTarget guards against answers to OPTIONS * that the handler didn't
+// give.
+func TestHandlerGetsEveryTarget(t *testing.T) {
+	connection := dialServer(t)
+	require.NoError(t, connection.SetDeadline(time.Now().Add(5*time.Second)))
+	_, err := io.WriteString(connection, "OPTIONS * HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc")
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	assert.Equal(t, "3", string(body))
+}
--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -5,9 +5,7 @@
 	"context"
 	"io"
 	"net/http"
-	"net/url"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -349,7 +347,6 @@
 
 func (h *Handler) encode(ctx context.Context, s *attempt, timeLeft time.Duration) *http.Request {
 	j, d := s.job, s.chosen
-	path, query, asked := strings.Cut(j.call.Path, "?")
 	resume := j.call.ResumeAfter
 	if j.stream.last != "" {
 		resume = j.stream.last
@@ -364,7 +361,7 @@
 	})
 	request := &http.Request{
 		Method: j.call.Method, Host: j.call.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		URL: &url.URL{Scheme: "http", Host: d.Target.Address, Opaque: path, RawQuery: query, ForceQuery: asked},
+		URL: requestURL(d.Target.Address, j.call.Path),
 	}
 	if len(j.call.Body) > 0 {
 		request.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(j.call.Body)), nil }
--- a/internal/gate/proxy/proxy.go
+++ b/internal/gate/proxy/proxy.go
@@ -215,6 +215,9 @@
 	if err != nil {
 		return j, refusal("badRequest", http.StatusBadRequest, err.Error(), 0)
 	}
+	if err := checkTarget(c.Path); err != nil {
+		return j, err
+	}
 	if h.stopping() {
 		return j, stopRefusal()
 	}
--- a/internal/gate/proxy/proxy_test.go
+++ b/internal/gate/proxy/proxy_test.go
@@ -198,7 +198,7 @@
 
 // newFixture starts a handler in front of targets of one service. A nil target is
 // unreachable.
-func newFixture(t *testing.T, targets []target, options ...option) *fixture {
+func newFixture(t testing.TB, targets []target, options ...option) *fixture {
 	t.Helper()
 	w := &fixture{ended: make(chan struct{}, 16), nodes: 1, addresses: map[string]string{}}
 	list := map[string]roster.Target{}
@@ -237,7 +237,9 @@
 		apply(&o)
 	}
 	w.handler = proxy.New(o)
-	w.server = httptest.NewServer(w.handler)
+	w.server = httptest.NewUnstartedServer(w.handler)
+	w.server.Config.DisableGeneralOptionsHandler = true
+	w.server.Start()
 	t.Cleanup(w.server.Close)
 	return w
 }
