Break every answer off that doesn't end whole

Cause: a handler that returns makes net/http complete what has been written, and the path for clients that have left returned. Handling a request now yields an ending whose zero value breaks the connection off; a whole answer of the target or of the host is the only other value, made where that answer has been written.

--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -72,7 +72,7 @@
 
 // run sends a request to one target after the other until one answers it or no
 // further attempt is allowed.
-func (h *Handler) run(ctx, client context.Context, w http.ResponseWriter, j *job) {
+func (h *Handler) run(ctx, client context.Context, w http.ResponseWriter, j *job) ending {
 	for {
 		d, err := h.next(ctx, j)
 		switch {
@@ -82,31 +82,26 @@
 			err = h.checkDeadly(j)
 		}
 		if err != nil {
-			h.conclude(client, w, j, err)
-			return
+			return h.conclude(client, w, j, err)
 		}
 		var reason string
 		held := false
 		switch r := h.send(ctx, client, w, j, d).(type) {
 		case done:
-			h.finished(j, r.status)
-			return
+			return h.finished(j, r.status)
 		case clientGone:
-			h.clientLeft(j)
-			return
+			return h.clientLeft(j)
 		case notRun:
 			reason, held = r.reason, r.held
 		case broken:
 			reason = r.reason
 			if !h.mayRetry(j, r) {
-				h.endBroken(client, w, j, r)
-				return
+				return h.endBroken(client, w, j, r)
 			}
 		}
 		j.excluded = append(j.excluded, d.Target.ID)
 		if j.sent >= maxSends || !held && j.successor == nil && !h.takeRetry(j.service.Name) {
-			h.conclude(client, w, j, h.exhausted(j, reason))
-			return
+			return h.conclude(client, w, j, h.exhausted(j, reason))
 		}
 		h.meters.count("second_sendings", reason)
 	}
--- a/internal/gate/proxy/proxy.go
+++ b/internal/gate/proxy/proxy.go
@@ -106,15 +106,28 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.begin()
 	defer h.finish()
+	if !h.serve(w, r).whole {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// ending is how the handling of a request ended. Without a whole answer, which is the
+// zero value, the connection is broken off: net/http would otherwise complete what has
+// been written.
+type ending struct{ whole bool }
+
+// answered is the ending after a whole answer of the target or of this host.
+var answered = ending{whole: true}
+
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request) ending {
 	j, err := h.prepare(r)
 	if err != nil {
-		h.refuse(w, j, err)
-		return
+		return h.refuse(w, j, err)
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
 	defer cancel()
 	defer context.AfterFunc(h.ended, cancel)()
-	h.run(ctx, r.Context(), w, j)
+	return h.run(ctx, r.Context(), w, j)
 }
 
 // End ends all requests in progress: those without an answer get one that says whether
