Bound what a host holds for others by one budget

Cause: only long unary answers had a bound together. Bodies had none, and each stream could hold an event of 1 MiB on its own.

One budget of 40 in 100 of the process's memory now holds bodies, answers and events. Bodies may use three quarters of it, long answers and events 15 in 16, so that what is short finds room. A body that doesn't fit is read to its end and refused as not run, 503 with a time to come back; a stream whose event doesn't fit is broken off, and isn't taken for a crash of its engine.

--- a/internal/gate/budget/budget_test.go
+++ b/internal/gate/budget/budget_test.go
@@ -21,7 +21,7 @@
 
 func ExampleBudget_ReadAll() {
 	answers := budget.New(1 << 20)
-	body, release, err := answers.ReadAll(strings.NewReader("whole"), 1<<10)
+	body, release, err := answers.ReadAll(strings.NewReader("whole"), budget.Answer, 1<<10)
 	defer release()
 	fmt.Println(string(body), err)
 	// Output: whole <nil>
@@ -47,7 +47,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			b := budget.New(total)
-			body, release, err := b.ReadAll(test.in, limit)
+			body, release, err := b.ReadAll(test.in, budget.Answer, limit)
 			if test.err != nil {
 				require.ErrorAs(t, err, test.err)
 			} else {
@@ -66,16 +66,36 @@
 func TestAnswersShareTheBudget(t *testing.T) {
 	const total, limit = 2 << 20, 512 << 10
 	b := budget.New(total)
-	long, release, err := b.ReadAll(strings.NewReader(strings.Repeat("x", limit)), limit)
+	long, release, err := b.ReadAll(strings.NewReader(strings.Repeat("x", limit)), budget.Answer, limit)
 	require.NoError(t, err)
 	assert.Len(t, long, limit)
-	_, releaseEndless, err := b.ReadAll(endless{}, 4*total)
+	_, releaseEndless, err := b.ReadAll(endless{}, budget.Answer, 4*total)
 	var exhausted *budget.ExhaustedError
 	require.ErrorAs(t, err, &exhausted)
-	_, releaseShort, err := b.ReadAll(strings.NewReader(strings.Repeat("x", 60_000)), limit)
+	_, releaseShort, err := b.ReadAll(strings.NewReader(strings.Repeat("x", 60_000)), budget.Answer, limit)
 	require.NoError(t, err, "a short answer needs no budget")
 	for _, f := range []func(){releaseEndless, releaseShort, release} {
 		f()
 	}
 	assert.Equal(t, total, b.Left())
 }
+
+// Pattern: long bodies take what they may, and answers still find room.
+func TestBodiesLeaveRoomForAnswers(t *testing.T) {
+	const total = 1 << 20
+	b := budget.New(total)
+	resize, release := b.Hold(budget.Body)
+	require.NoError(t, resize(total*3/4))
+	other, releaseOther := b.Hold(budget.Body)
+	var exhausted *budget.ExhaustedError
+	require.ErrorAs(t, other(8<<10), &exhausted)
+	answer, releaseAnswer := b.Hold(budget.Answer)
+	require.NoError(t, answer(100<<10))
+	require.ErrorAs(t, answer(total/2), &exhausted)
+	require.NoError(t, resize(0), "a reservation shrinks")
+	require.NoError(t, answer(total/2))
+	for _, f := range []func(){release, releaseOther, releaseAnswer, release} {
+		f()
+	}
+	assert.Equal(t, total, b.Left())
+}
--- a/internal/gate/event/event.go
+++ b/internal/gate/event/event.go
@@ -13,6 +13,8 @@
 const (
 	// bufferBytes is the size of the read buffer of one stream.
 	bufferBytes = 4 << 10
+	// keptBytes is the capacity of an event's buffer that is kept for the next one.
+	keptBytes = 16 << 10
 	// maxEventBytes limits the size of an event.
 	maxEventBytes = 1 << 20
 )
@@ -33,19 +35,33 @@
 type Reader struct {
 	in  *bufio.Reader
 	raw []byte
+	// resize reserves memory for raw.
+	resize func(size int) error
 }
 
 // New returns a reader of the events in a stream.
 //
 //	events := event.New(response.Body)
 //	next, err := events.Next()
-func New(in io.Reader) *Reader { return &Reader{in: bufio.NewReaderSize(in, bufferBytes)} }
+func New(in io.Reader) *Reader { return NewWithin(in, func(int) error { return nil }) }
+
+// NewWithin is like New for a reader that calls resize with the size of its buffer for an
+// event before that changes. Its error ends the stream.
+func NewWithin(in io.Reader, resize func(size int) error) *Reader {
+	return &Reader{in: bufio.NewReaderSize(in, bufferBytes), resize: resize}
+}
 
 // Next returns the next event. Blank lines before it belong to it, so that the
 // events together are the stream, byte for byte. At the end of the stream the error
 // is [io.EOF] after a complete event, and [io.ErrUnexpectedEOF] within an event.
 func (r *Reader) Next() (Event, error) {
 	r.raw = r.raw[:0]
+	if cap(r.raw) > keptBytes {
+		r.raw = nil
+		if err := r.resize(0); err != nil {
+			return Event{}, err
+		}
+	}
 	id, begun := "", false
 	for {
 		line, err := r.readLine()
@@ -75,7 +91,9 @@
 	start := len(r.raw)
 	for {
 		part, err := r.in.ReadSlice('\n')
-		r.raw = append(r.raw, part...)
+		if err := r.add(part); err != nil {
+			return nil, err
+		}
 		if len(r.raw) > maxEventBytes {
 			return nil, ErrTooLarge
 		}
@@ -85,6 +103,23 @@
 	}
 }
 
+// add appends bytes to the event.
+func (r *Reader) add(part []byte) error {
+	if needed := len(r.raw) + len(part); needed > cap(r.raw) {
+		size := max(2*cap(r.raw), needed, bufferBytes)
+		// Both buffers are there while one is copied.
+		if err := r.resize(size + cap(r.raw)); err != nil {
+			return err
+		}
+		r.raw = append(make([]byte, 0, size), r.raw...)
+		if err := r.resize(size); err != nil {
+			return err
+		}
+	}
+	r.raw = append(r.raw, part...)
+	return nil
+}
+
 // Buffered reports whether the whole of a further event has already been received. It
 // looks no further than the read buffer, and may miss one.
 func (r *Reader) Buffered() bool {
--- a/internal/gate/host/host.go
+++ b/internal/gate/host/host.go
@@ -171,18 +171,18 @@
 }
 
 const (
-	// answerMemoryDivisor determines the part of the process's memory that long answers
-	// may take while they are read.
-	answerMemoryDivisor = 4
-	// defaultAnswerBytes is that part if the process has no memory limit.
-	defaultAnswerBytes = 32 << 20
+	// heldMemoryPercent is the part of the process's memory that bodies, answers and
+	// events may take together, in percent.
+	heldMemoryPercent = 40
+	// defaultHeldBytes is that part if the process has no memory limit.
+	defaultHeldBytes = 64 << 20
 )
 
-func answerBytes(memoryBytes int64) int {
+func heldBytes(memoryBytes int64) int {
 	if memoryBytes <= 0 {
-		return defaultAnswerBytes
+		return defaultHeldBytes
 	}
-	return int(memoryBytes / answerMemoryDivisor)
+	return int(memoryBytes * heldMemoryPercent / 100)
 }
 
 // New returns a host that is not running yet.
@@ -214,7 +214,7 @@
 	})
 	h.orders = orders.New(h.orderOptions())
 	h.proxy = proxy.New(proxy.Options{
-		Codec: platform.Codec, Plan: h.plan.Load, Picker: h.picker, Lock: &h.mu, Pool: h.pool, Answers: budget.New(answerBytes(settings.MemoryBytes)), Fleet: h.peers,
+		Codec: platform.Codec, Plan: h.plan.Load, Picker: h.picker, Lock: &h.mu, Pool: h.pool, Memory: budget.New(heldBytes(settings.MemoryBytes)), Fleet: h.peers,
 		RetryBound: settings.Bounds.Repeats, DefaultTimeout: time.Minute, OnVersion: h.observeVersion, OnNeeds: h.observeNeeds, OnSend: h.countSent, Scope: h.meter.Scope(), Logger: logger,
 		Deadly: h.deadly, Stopping: h.stop.rejecting.Load,
 	})
--- a/internal/gate/proxy/proxy.go
+++ b/internal/gate/proxy/proxy.go
@@ -48,9 +48,9 @@
 	Lock *sync.Mutex
 	// Pool holds the connections to targets.
 	Pool *pool.Pool
-	// Answers bounds the memory of answers that are being read.
-	Answers *budget.Budget
-	Fleet   Fleet
+	// Memory bounds the memory of bodies, answers and events together.
+	Memory *budget.Budget
+	Fleet  Fleet
 	// RetryBound limits the retries of all nodes together.
 	RetryBound quota.Bound
 	// DefaultTimeout is the request timeout for clients that don't send one.
@@ -121,6 +121,7 @@
 
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request) ending {
 	j, err := h.prepare(r)
+	defer func() { j.release() }()
 	if err != nil {
 		return h.refuse(w, j, err)
 	}
@@ -207,6 +208,8 @@
 	trial bool
 	// stream is how much of a streamed response the client has received.
 	stream position
+	// release returns the memory of the body.
+	release func()
 }
 
 func (j *job) request(now time.Time) pick.Request {
@@ -222,7 +225,7 @@
 
 // prepare reads a request, authenticates it and resolves its route and service.
 func (h *Handler) prepare(r *http.Request) (*job, error) {
-	j := &job{arrived: time.Now(), plan: h.options.Plan()}
+	j := &job{arrived: time.Now(), plan: h.options.Plan(), release: func() {}}
 	c, err := h.options.Codec.Decode(r)
 	j.call = c
 	if err != nil {
@@ -257,18 +260,43 @@
 		timeout = min(timeout, route.Timeout)
 	}
 	j.deadline = j.arrived.Add(timeout)
-	j.call.Body, err = io.ReadAll(r.Body)
-	if err != nil {
-		var known *fault.Error
-		if errors.As(err, &known) {
-			return j, known
-		}
-		return j, refusal("bodyBroken", http.StatusBadRequest, "the body ended too early", 0)
+	if err := h.readBody(j, r); err != nil {
+		return j, err
 	}
 	j.features = featuresOf(j)
 	return j, h.checkDeadly(j)
 }
 
+// longestBody is the bound of a body without a declared length beside the limits of the
+// configuration.
+const longestBody = 1 << 30
+
+// readBody reads the body of a request. If there is no memory for it, the rest is
+// discarded, so that the client reads the refusal.
+func (h *Handler) readBody(j *job, r *http.Request) error {
+	limit := longestBody
+	if r.ContentLength >= 0 {
+		limit = int(min(r.ContentLength, longestBody))
+	}
+	body, release, err := h.options.Memory.ReadAll(r.Body, budget.Body, limit)
+	j.call.Body, j.release = body, release
+	var known *fault.Error
+	var exhausted *budget.ExhaustedError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &known):
+		return known
+	case errors.As(err, &exhausted):
+		if _, err := io.Copy(io.Discard, r.Body); errors.As(err, &known) {
+			return known
+		}
+		return refusal("memory", http.StatusServiceUnavailable, "this host has no memory left for the body", h.retryAfter(j))
+	default:
+		return refusal("bodyBroken", http.StatusBadRequest, "the body ended too early", 0)
+	}
+}
+
 // authenticate looks up the workspace of the client's API key.
 func (j *job) authenticate() error {
 	if j.route.Anonymous || !j.plan.HasWorkspaces {
--- a/internal/gate/proxy/proxy_test.go
+++ b/internal/gate/proxy/proxy_test.go
@@ -229,7 +229,7 @@
 	picker.SetPlan(p)
 	picker.SetTargets(list)
 	o := proxy.Options{
-		Codec: codec{}, Plan: func() *plan.Plan { return p }, Picker: picker, Deadly: w.deadly, Lock: &sync.Mutex{}, Pool: pool.New(nil), Answers: budget.New(answerMemory),
+		Codec: codec{}, Plan: func() *plan.Plan { return p }, Picker: picker, Deadly: w.deadly, Lock: &sync.Mutex{}, Pool: pool.New(nil), Memory: budget.New(answerMemory),
 		Fleet: w, RetryBound: quota.Bound{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, DefaultTimeout: time.Second,
 		OnVersion: func(string, string, uint64) {}, OnNeeds: func(roster.Target, time.Time, call.Needs) {}, OnSend: func(roster.Target, bool) {}, Scope: tally.NoopScope, Logger: hclog.NewNullLogger(),
 	}
--- a/internal/gate/proxy/response.go
+++ b/internal/gate/proxy/response.go
@@ -60,7 +60,7 @@
 
 // unary buffers a response and forwards it once it is complete.
 func (h *Handler) unary(client context.Context, w http.ResponseWriter, s *attempt, response *http.Response) result {
-	body, release, err := h.options.Answers.ReadAll(response.Body, maxResponseBytes)
+	body, release, err := h.options.Memory.ReadAll(response.Body, budget.Answer, maxResponseBytes)
 	defer release()
 	var tooLarge *budget.TooLargeError
 	var exhausted *budget.ExhaustedError
@@ -105,7 +105,9 @@
 
 // stream forwards each server-sent event once it has arrived completely.
 func (h *Handler) stream(client context.Context, w http.ResponseWriter, s *attempt, response *http.Response) result {
-	events := event.New(response.Body)
+	resize, release := h.options.Memory.Hold(budget.Answer)
+	defer release()
+	events := event.NewWithin(response.Body, resize)
 	controller := http.NewResponseController(w)
 	for {
 		next, err := events.Next()
@@ -148,7 +150,9 @@
 			_ = http.NewResponseController(w).Flush()
 		}
 		s.end = pick.Failed
-		return broken{reason: "stream broken off: " + reasonOf(err), connLost: isConnError(err)}
+		var exhausted *budget.ExhaustedError
+		ownLimit := errors.As(err, &exhausted) || errors.Is(err, event.ErrTooLarge)
+		return broken{reason: "stream broken off: " + reasonOf(err), connLost: isConnError(err) && !ownLimit}
 	}
 }
 
