--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -103,7 +103,7 @@
 		if j.sent >= maxSends || !held && j.successor == nil && !h.takeRetry(j.service.Name) {
 			return h.conclude(client, w, j, h.exhausted(j, reason))
 		}
-		h.meters.count("second_sendings", reason)
+		h.meters.count("second_sendings", retryLabel(reason))
 	}
 }
 
--- a/internal/gate/proxy/export_test.go
+++ b/internal/gate/proxy/export_test.go
@@ -7,3 +7,6 @@
 		return false
 	})
 }
+
+// RetryLabel returns the label of a reason for another attempt.
+func RetryLabel(reason string) string { return retryLabel(reason) }
--- a/internal/gate/proxy/metrics.go
+++ b/internal/gate/proxy/metrics.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	mathrand "math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -25,6 +26,23 @@
 	return meters{scope: scope, histograms: map[string]tally.Histogram{}}
 }
 
+// retryLabels are the beginnings of the reasons for another attempt. The rest of a reason
+// has addresses and ports, each of which would make a series of its own.
+var retryLabels = []string{
+	"no time left", "held back", "refused", "not reached", "no answer", "no headers in time", "not begun", "failure", "answer to another request",
+	"answer without seal", "answer without events", "answer broken off", "stream broken off", "more than", "no memory",
+}
+
+// retryLabel returns the label of a reason, from a closed set.
+func retryLabel(reason string) string {
+	for _, label := range retryLabels {
+		if strings.HasPrefix(reason, label) {
+			return label
+		}
+	}
+	return "other"
+}
+
 func (m *meters) count(name, reason string) {
 	m.scope.Tagged(map[string]string{"reason": reason}).Counter(name).Inc(1)
 }
