Play the review's cases in the soak

TestSoakReview: targets send copies of refusals and events without end, clients send bodies at the limit in bursts and close their sending side, and the judge reads the hosts' anonymous memory.

--- a/internal/tool/soak/caller_test.go
+++ b/internal/tool/soak/caller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -45,6 +46,8 @@
 	random *rand.Rand
 	client *http.Client
 	sent   int
+	// body replaces the ID of a request as its body; empty for none.
+	body string
 }
 
 func newCaller(f *fleet, seed uint64, number int) *caller {
@@ -93,7 +96,7 @@
 	r := record{id: fmt.Sprintf("%s-%d", c.name, c.sent), path: path, key: key, host: p.settings.Name, incarnation: p.incarnation(), sent: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
-	clientRequest := fake.ClientRequest{Address: p.settings.Front, Name: fake.Host, Path: path + "x", ID: r.id, Key: key, Deadline: requestTimeout, Body: r.id}
+	clientRequest := fake.ClientRequest{Address: p.settings.Front, Name: fake.Host, Path: path + "x", ID: r.id, Key: key, Deadline: requestTimeout, Body: cmp.Or(c.body, r.id)}
 	if path == fake.Lookups {
 		// All callers send the same lookup.
 		clientRequest.Body = "{}"
--- a/internal/tool/soak/fleet_test.go
+++ b/internal/tool/soak/fleet_test.go
@@ -187,6 +187,8 @@
 	f.checker.countStep(s.kind)
 	p := f.hosts[s.index%len(f.hosts)]
 	switch s.kind {
+	case longBodies, halfClose:
+		f.clientStep(s)
 	case killHerd, leaveTogether, herdAndLeave, burstOfWork, changeInBurst:
 		f.grownStep(s)
 	case killHost, stopHost, pauseHost, reloadHost:
@@ -274,6 +276,7 @@
 var targetFaults = map[stepKind]fake.Fault{
 	muteTarget: fake.NoResponse, mixUpTarget: fake.WrongResponse, truncateTarget: fake.TruncatedResponse, unframeTarget: fake.UnframedResponse,
 	resetUnframedTarget: fake.UnframedReset, cutEventTarget: fake.EndInEvent, cutUnframedTarget: fake.UnframedEndInEvent,
+	copyRefusals: fake.CopiedRefusal, endlessEvents: fake.EndlessEvent,
 }
 
 func (f *fleet) targetStep(s step, t *target) {
--- a/internal/tool/soak/plan_test.go
+++ b/internal/tool/soak/plan_test.go
@@ -41,6 +41,11 @@
 	cutEventTarget      stepKind = "a target ends streams within an event"
 	cutUnframedTarget   stepKind = "a target ends streams without chunks within an event"
 
+	copyRefusals  stepKind = "a target sends copies of refusals"
+	endlessEvents stepKind = "a target sends events without end"
+	longBodies    stepKind = "a burst of bodies at the limit"
+	halfClose     stepKind = "clients close their sending side"
+
 	limitTarget stepKind = "a target names a limit"
 	pauseTarget stepKind = "a target asks for a pause"
 	leaveTarget stepKind = "a target says that it leaves and is replaced"
@@ -60,6 +65,9 @@
 	unframeTarget, resetUnframedTarget, resetUnframedTarget, cutEventTarget, cutEventTarget, cutUnframedTarget, cutUnframedTarget,
 }
 
+// reviewKinds are the steps that an independent review played.
+var reviewKinds = []stepKind{copyRefusals, copyRefusals, endlessEvents, endlessEvents, longBodies, longBodies, halfClose, halfClose}
+
 // needKinds are the steps in which targets say what they need.
 var needKinds = []stepKind{limitTarget, limitTarget, limitTarget, pauseTarget, pauseTarget, leaveTarget, leaveTarget}
 
--- a/internal/tool/soak/soak_test.go
+++ b/internal/tool/soak/soak_test.go
@@ -141,9 +141,14 @@
 			callers.Go(func() { c.sendDeadly(deadlyCtx, p, s.deadly) })
 		}
 	}
+	watching, endWatch := context.WithCancel(ctx)
+	watched := make(chan error, 1)
+	go func(ctx context.Context) { watched <- f.watchMemory(ctx) }(watching)
 	f.play(t.Context(), newPlan(s.seed, time.Duration(s.seconds)*time.Second, s.kinds))
 	endDeadly()
 	assert.NoError(t, f.awaitRecovery(s.seed))
+	endWatch()
+	<-watched
 	cancel()
 	callers.Wait()
 	f.report(t, s.seed)
