--- a/internal/gate/feed/outage_test.go
+++ b/internal/gate/feed/outage_test.go
@@ -208,19 +208,20 @@
 	})
 }
 
+// lapseTest is an absence of the store.
+type lapseTest struct {
+	// away is how long the store fails from one second after the start.
+	away time.Duration
+	// fromUpstream is true if the removal comes in the whole table of the upstream.
+	fromUpstream bool
+	want         bool
+}
+
 // TestRowsLapseInOutagesOnly guards against requests to targets that had left: after one
 // failed call, and in every whole table of another node, their removal passed for one in
 // an outage, in which the entries of live targets lapse.
 func TestRowsLapseInOutagesOnly(t *testing.T) {
-	const life = 2 * time.Second
-	gone := page(4, feed.Row{Key: "b", Version: 4, Removed: true})
-	tests := map[string]struct {
-		// away is how long the store fails from one second after the start.
-		away time.Duration
-		// fromUpstream is true if the removal comes in the whole table of the upstream.
-		fromUpstream bool
-		want         bool
-	}{
+	tests := map[string]lapseTest{
 		"followed":                {},
 		"one failed call":         {away: 50 * time.Millisecond},
 		"a short outage":          {away: 800 * time.Millisecond},
@@ -230,36 +231,40 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				began := time.Now()
-				s := &awaySource{began: began, away: test.away, change: gone, hides: test.fromUpstream}
-				regained, got := false, []bool{}
-				record := func(p feed.Page) {
-					if time.Since(began) > time.Second {
-						got = append(got, p.Lapsed)
-					}
-				}
-				options := feed.Options{
-					Table: "t", Source: s, RowLife: life, Reset: record, Change: record, Scope: tally.NoopScope, Logger: hclog.NewNullLogger(),
-					OnAvailable: func() { regained = true },
-				}
-				if test.fromUpstream {
-					options.Upstream = func(string) (uint64, time.Duration, bool) { return 4, 0, time.Since(began) > time.Second }
-					options.FetchFromPeer = func(context.Context, string, uint64) (feed.Page, error) {
-						return feed.Page{Version: 4, Whole: true, Sender: "parent", Rows: []feed.Row{row("a", 1)}}, nil
-					}
-				}
-				f := feed.New(options)
-				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
-				defer cancel()
-				assert.Error(t, f.Serve(ctx))
-				assert.Equal(t, []bool{test.want}, got)
-				assert.Equal(t, test.want, regained)
-			})
+			synctest.Test(t, func(t *testing.T) { assertLapsed(t, test) })
 		})
 	}
 }
 
+// assertLapsed runs a feed that learns of a removal, and checks whether it may have been
+// one in an outage.
+func assertLapsed(t *testing.T, test lapseTest) {
+	t.Helper()
+	began := time.Now()
+	gone := page(4, feed.Row{Key: "b", Version: 4, Removed: true})
+	regained, got := false, []bool{}
+	record := func(p feed.Page) {
+		if time.Since(began) > time.Second {
+			got = append(got, p.Lapsed)
+		}
+	}
+	options := feed.Options{
+		Table: "t", Source: &awaySource{began: began, away: test.away, change: gone, hides: test.fromUpstream}, RowLife: 2 * time.Second,
+		Reset: record, Change: record, Scope: tally.NoopScope, Logger: hclog.NewNullLogger(), OnAvailable: func() { regained = true },
+	}
+	if test.fromUpstream {
+		options.Upstream = func(string) (uint64, time.Duration, bool) { return 4, 0, time.Since(began) > time.Second }
+		options.FetchFromPeer = func(context.Context, string, uint64) (feed.Page, error) {
+			return feed.Page{Version: 4, Whole: true, Sender: "parent", Rows: []feed.Row{row("a", 1)}}, nil
+		}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	assert.Error(t, feed.New(options).Serve(ctx))
+	assert.Equal(t, []bool{test.want}, got)
+	assert.Equal(t, test.want, regained)
+}
+
 // awaySource is a store whose watches return each half a second, that fails for a while
 // and has a change afterwards.
 type awaySource struct {
--- a/internal/gate/proxy/stop_test.go
+++ b/internal/gate/proxy/stop_test.go
@@ -13,7 +13,6 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/cicadamill/cicadamill/internal/gate/plan"
 	"github.com/cicadamill/cicadamill/internal/gate/proxy"
 )
 
@@ -40,39 +39,23 @@
 			assert.Zero(t, w.arrivals.Load())
 		})
 	}
-	t.Run("every target is busy", func(t *testing.T) {
-		t.Parallel()
-		var stopping atomic.Bool
-		release := make(chan struct{})
-		w := newFixture(t, []target{func(rw http.ResponseWriter, r *http.Request, _ int) {
-			<-release
-			good(rw, r, 0)
-		}}, func(o *proxy.Options) {
-			o.Stopping = stopping.Load
-			p := testPlan(longTimeout, longTimeout/2)
-			p.Services["app"] = plan.Service{Name: "app", MaxConns: 1}
-			o.Plan = func() *plan.Plan { return p }
-			o.Picker.SetPlan(p)
-		})
-		replies := make(chan reply, 3)
-		for range 2 {
-			go func() { replies <- w.send(t, "/once/x") }()
-		}
-		require.Eventually(t, func() bool { return w.arrivals.Load() == 2 }, longTimeout, time.Millisecond)
-		go func() { replies <- w.send(t, "/once/x") }()
-		require.Eventually(t, func() bool { return w.handler.Active() == 3 }, longTimeout, time.Millisecond)
-		time.Sleep(50 * time.Millisecond)
-		stopping.Store(true)
-		w.handler.CancelUnsent()
-		got := <-replies
-		require.NoError(t, got.err)
-		assert.Equal(t, http.StatusServiceUnavailable, got.status)
-		close(release)
-		for range 2 {
-			assert.Equal(t, http.StatusOK, (<-replies).status, "what runs is answered")
-		}
-		assert.EqualValues(t, 2, w.arrivals.Load())
-	})
+}
+
+// TestQueueIsRejectedAtAStop guards against requests that waited for a connection to a
+// target while their host stopped, and were sent late in its grace period.
+func TestQueueIsRejectedAtAStop(t *testing.T) {
+	var stopping atomic.Bool
+	q := newQueue(t, func(o *proxy.Options) { o.Stopping = stopping.Load })
+	stopping.Store(true)
+	q.handler.CancelUnsent()
+	got := <-q.replies
+	require.NoError(t, got.err)
+	assert.Equal(t, http.StatusServiceUnavailable, got.status)
+	q.free()
+	for range 2 {
+		assert.Equal(t, http.StatusOK, (<-q.replies).status, "what runs is answered")
+	}
+	assert.EqualValues(t, 2, q.arrivals.Load())
 }
 
 // assertRejected reads the answer to a request that has not run.
