Let idle connections hold no ended request

A host held the bodies of requests that had ended, beside what it counts, as long as their connections were idle (up to 3 s): the connection keeps the guard of its last request, whose check refers to the request. The guard drops its check once the request has been sent.

TestIdleConnectionKeepsNoRequest failed before.

--- a/internal/target/egress/guard.go
+++ b/internal/target/egress/guard.go
@@ -109,7 +109,8 @@
 		if err := g.check(); err != nil {
 			return err
 		}
-		g.used = c
+		// An idle connection keeps its guard, and the check what it refers to.
+		g.used, g.check = c, nil
 		return nil
 	default:
 		return ErrAlreadySent
--- a/internal/target/egress/guard_test.go
+++ b/internal/target/egress/guard_test.go
@@ -8,8 +8,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -105,3 +107,32 @@
 	}
 	assert.EqualValues(t, 2, opened.Load())
 }
+
+// TestIdleConnectionKeepsNoRequest guards against the memory of requests that have ended
+// and that idle connections hold.
+func TestIdleConnectionKeepsNoRequest(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) }))
+	defer server.Close()
+	transport := &http.Transport{DialContext: egress.Dial}
+	defer transport.CloseIdleConnections()
+	freed := make(chan struct{})
+	func() {
+		held := &struct{ body [1 << 20]byte }{}
+		runtime.SetFinalizer(held, func(any) { close(freed) })
+		guard := egress.NewJudged(func() error {
+			held.body[0]++
+			return nil
+		})
+		require.NoError(t, post(guard.Context(t.Context()), transport, server.URL))
+		guard.Judge()
+	}()
+	require.Eventually(t, func() bool {
+		runtime.GC()
+		select {
+		case <-freed:
+			return true
+		default:
+			return false
+		}
+	}, 5*time.Second, 10*time.Millisecond)
+}
--- a/internal/tool/soak/fleet_test.go
+++ b/internal/tool/soak/fleet_test.go
@@ -67,7 +67,7 @@
 func newFleet(t *testing.T, binary, folder string, s scenario) *fleet {
 	f := &fleet{t: t, store: fake.NewStore(), checker: newChecker(), weights: 1, callers: cmp.Or(s.callers, callersPerHost*s.hosts)}
 	f.checker.deadly = s.deadly
-	f.config = fake.Config{Version: 1, Keys: map[string][]string{}}
+	f.config = fake.Config{Version: 1, Keys: map[string][]string{}, BodyBytes: s.bodyBytes}
 	for i := range workspaceCount {
 		f.config.Keys[fmt.Sprint("workspace", i)] = []string{fmt.Sprint("key-", i, "-a"), fmt.Sprint("key-", i, "-b")}
 	}
@@ -85,6 +85,7 @@
 		p, err := newProcess(binary, folder, fmt.Sprintf("host-%02d", i), server.Listener.Addr().String())
 		require.NoError(t, err)
 		t.Cleanup(p.store.close)
+		p.settings.MemoryMB = s.memoryMB
 		p.settings.DataCentre = dataCentreNames[i%max(s.dataCentres, 1)]
 		f.hosts = append(f.hosts, p)
 	}
--- a/internal/tool/soak/soak_test.go
+++ b/internal/tool/soak/soak_test.go
@@ -38,6 +38,9 @@
 	// dataCentres is the number of data centres, one if zero. The others are numbers of
 	// callers and targets; zero means the usual one.
 	dataCentres, callers, engines, plainTargets int
+	// bodyBytes and memoryMB are the limits of bodies and of a host's memory; zero means
+	// the usual one.
+	bodyBytes, memoryMB int
 }
 
 // regressions are seeds that failed once, by the cause of the failure.
