--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -268,10 +268,13 @@
 	response, err := h.options.Pool.Send(request, s.chosen.Target, h.connShare(s.job), s.guard)
 	stop()
 	if err != nil {
+		// An answer may have come that nobody has seen.
+		s.guard.Retire()
 		return h.classifyError(client, s, err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	if !s.phase.begin() {
+		s.guard.Retire()
 		return h.classifyError(client, s, context.Canceled)
 	}
 	s.headersAt = time.Now()
