Keep the cost of ordinary requests, and measure it

First buffers have the size of what comes, and the end of a stop cancels attempts instead of being a parent of each request's context.

--- a/internal/gate/budget/budget.go
+++ b/internal/gate/budget/budget.go
@@ -99,7 +99,7 @@
 	resize, release := b.Hold(kind)
 	for {
 		if len(read) == cap(read) {
-			size := min(max(firstBytes, growth*cap(read)), max(limit+1, firstBytes))
+			size := min(max(firstBytes, growth*cap(read)), limit+1)
 			// Both buffers are there while one is copied.
 			if err := resize(size + cap(read)); err != nil {
 				return nil, release, err
--- a/internal/gate/event/event.go
+++ b/internal/gate/event/event.go
@@ -13,6 +13,8 @@
 const (
 	// bufferBytes is the size of the read buffer of one stream.
 	bufferBytes = 4 << 10
+	// smallestBytes is the first size of an event's buffer.
+	smallestBytes = 256
 	// keptBytes is the capacity of an event's buffer that is kept for the next one.
 	keptBytes = 16 << 10
 	// maxEventBytes limits the size of an event.
@@ -106,7 +108,7 @@
 // add appends bytes to the event.
 func (r *Reader) add(part []byte) error {
 	if needed := len(r.raw) + len(part); needed > cap(r.raw) {
-		size := max(2*cap(r.raw), needed, bufferBytes)
+		size := max(2*cap(r.raw), needed, smallestBytes)
 		// Both buffers are there while one is copied.
 		if err := r.resize(size + cap(r.raw)); err != nil {
 			return err
--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -76,7 +76,7 @@
 	for {
 		d, err := h.next(ctx, j)
 		switch {
-		case h.ended.Err() != nil || h.stopping() && j.ran == 0:
+		case h.ended.Load() || h.stopping() && j.ran == 0:
 			err = stopRefusal()
 		case err == nil:
 			err = h.checkDeadly(j)
@@ -148,7 +148,7 @@
 	began := time.Now()
 	maxWait := min(j.route.Objective, time.Until(j.deadline)/2)
 	for {
-		if h.stopping() && j.ran == 0 {
+		if h.ended.Load() || h.stopping() && j.ran == 0 {
 			return pick.Dispatch{}, stopRefusal()
 		}
 		now := time.Now()
@@ -223,6 +223,9 @@
 	defer s.guard.Judge()
 	h.running.add(s)
 	defer h.running.remove(s)
+	if h.ended.Load() {
+		cancel()
+	}
 	h.options.Lock.Lock()
 	s.run = h.options.Picker.Start(s.began, j.request(s.began), d)
 	h.options.Lock.Unlock()
--- a/internal/gate/proxy/proxy.go
+++ b/internal/gate/proxy/proxy.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -85,18 +86,16 @@
 	active int
 	idle   chan struct{}
 
-	// ended ends all requests; end cancels it.
-	ended context.Context
-	end   context.CancelFunc
+	// ended is true after [Handler.End].
+	ended atomic.Bool
 }
 
 // New returns a handler.
 //
 //	server := limit.Server(proxy.New(options), limits)
 func New(options Options) *Handler {
-	ended, end := context.WithCancel(context.Background())
 	return &Handler{
-		ended: ended, end: end, options: options, meters: newMeters(options.Scope), random: random(),
+		options: options, meters: newMeters(options.Scope), random: random(),
 		unbegun: attempts{set: map[*attempt]struct{}{}}, running: attempts{set: map[*attempt]struct{}{}},
 		quotas: map[string]*quota.Quota{}, idle: make(chan struct{}, 1),
 	}
@@ -127,14 +126,18 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
 	defer cancel()
-	defer context.AfterFunc(h.ended, cancel)()
 	return h.run(ctx, r.Context(), w, j)
 }
 
 // End ends all requests in progress: those without an answer get one that says whether
 // they have run, streams that have begun are broken off. It is for the end of the time in
 // which the process must stop.
-func (h *Handler) End() { h.end() }
+func (h *Handler) End() {
+	h.ended.Store(true)
+	for _, s := range h.running.all() {
+		s.cancel()
+	}
+}
 
 // stopping reports whether requests that have not been sent might not finish before the
 // process exits.
--- a/internal/tool/soak/peaks_test.go
+++ b/internal/tool/soak/peaks_test.go
@@ -65,28 +65,15 @@
 	ctx, cancel := context.WithTimeout(ctx, peakTime)
 	defer cancel()
 	var callers sync.WaitGroup
-	var mu sync.Mutex
-	statuses = map[int]int{}
-	send := func(p *process, number int, path, body string) {
-		c := newCaller(f, 1, number)
-		defer c.client.CloseIdleConnections()
-		for c.body = body; ctx.Err() == nil; time.Sleep(requestInterval) {
-			r := c.send(p, path, "key-0-a")
-			if body != "" {
-				mu.Lock()
-				statuses[r.status]++
-				mu.Unlock()
-			}
-		}
-	}
+	answers := make(chan int, 1<<16)
 	body := strings.Repeat("x", peakBody)
 	for i, p := range f.hosts {
 		for n := range peakStreams {
-			callers.Go(func() { send(p, i*1000+n, fake.Streams, "") })
+			callers.Go(func() { f.repeat(ctx, p, i*1000+n, fake.Streams, "", nil) })
 		}
 		for n := range peakBodies {
 			if bodies {
-				callers.Go(func() { send(p, i*1000+500+n, fake.Effects, body) })
+				callers.Go(func() { f.repeat(ctx, p, i*1000+500+n, fake.Effects, body, answers) })
 			}
 		}
 	}
@@ -97,5 +84,23 @@
 		time.Sleep(memoryInterval)
 	}
 	callers.Wait()
+	close(answers)
+	statuses = map[int]int{}
+	for status := range answers {
+		statuses[status]++
+	}
 	return peak, statuses
 }
+
+// repeat sends requests of a caller to a host until the context ends, and their statuses
+// to answers unless it is nil.
+func (f *fleet) repeat(ctx context.Context, p *process, number int, path, body string, answers chan<- int) {
+	c := newCaller(f, 1, number)
+	defer c.client.CloseIdleConnections()
+	for c.body = body; ctx.Err() == nil; time.Sleep(requestInterval) {
+		r := c.send(p, path, "key-0-a")
+		if answers != nil {
+			answers <- r.status
+		}
+	}
+}
