--- a/internal/tool/soak/fleet_test.go
+++ b/internal/tool/soak/fleet_test.go
@@ -41,6 +41,8 @@
 	store   *fake.Store
 	hosts   []*process
 	checker *checker
+	// herdMu serializes the steps that kill a herd of hosts.
+	herdMu sync.Mutex
 	// callers is the number of usual callers.
 	callers int
 
--- a/internal/tool/soak/grown_test.go
+++ b/internal/tool/soak/grown_test.go
@@ -86,6 +86,9 @@
 // killHerd kills a share of the hosts at once and starts them again together; meanwhile
 // is called right before that.
 func (f *fleet) killHerd(first int, meanwhile func()) {
+	// Two herds would wait for each other's hosts.
+	f.herdMu.Lock()
+	defer f.herdMu.Unlock()
 	count := int(herdShare * float64(len(f.hosts)))
 	var killed, started, done sync.WaitGroup
 	killed.Add(count)
