--- a/internal/gate/feed/feed.go
+++ b/internal/gate/feed/feed.go
@@ -170,7 +170,8 @@
 	currentAt time.Time
 	// removedAt is when each tombstone was added.
 	removedAt map[string]time.Time
-	// history is the version since which rows has all changes, except those in unseen.
+	// history is the version since which rows has all changes, but for versions in
+	// unseen.
 	history uint64
 	unseen  gap
 	// failedSince is when the first of the failed calls in succession ended; zero
--- a/internal/gate/host/drain.go
+++ b/internal/gate/host/drain.go
@@ -49,13 +49,6 @@
 	return &connectionCloser{next: next, host: h}
 }
 
-func minTime(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 func (h *Host) stopping() bool { return h.stop.started.Load() }
 
 // drain stops the host and lets requests in progress complete within the grace
@@ -64,8 +57,9 @@
 // that it leaves when it no longer sends orders.
 func (h *Host) drain(ctx context.Context, ordersDone <-chan error) {
 	began := time.Now()
-	end := began.Add(h.bounds.Load().Grace - exitMargin)
-	reject := time.After(time.Until(minTime(began.Add(balancerLag), end)))
+	grace := h.bounds.Load().Grace - exitMargin
+	end := began.Add(grace)
+	reject := time.After(min(balancerLag, grace))
 	h.stop.started.Store(true)
 	h.ready.Store(false)
 	h.logger.Info("stopping", "requests", h.proxy.Active())
--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -214,7 +214,7 @@
 	defer cancel()
 	s := &attempt{job: j, chosen: d, mayHaveRun: j.ran > 0, began: time.Now(), cancel: cancel, end: pick.Cancelled}
 	s.guard = egress.NewJudged(func() error {
-		if err := h.mayLeave(s); err != nil {
+		if err := h.checkSend(s); err != nil {
 			s.held.Store(true)
 			return err
 		}
--- a/internal/gate/proxy/unsent.go
+++ b/internal/gate/proxy/unsent.go
@@ -19,15 +19,15 @@
 		if s.guard.Sent() {
 			continue
 		}
-		if err := h.mayLeave(s); err != nil && s.guard.Stop(err) {
+		if err := h.checkSend(s); err != nil && s.guard.Stop(err) {
 			s.held.Store(true)
 			s.cancel()
 		}
 	}
 }
 
-// mayLeave returns why a request may not be sent to its target; nil if it may.
-func (h *Handler) mayLeave(s *attempt) error {
+// checkSend returns why a request may not be sent to its target; nil if it may.
+func (h *Handler) checkSend(s *attempt) error {
 	switch {
 	case !h.takesRequests(s.chosen.Target):
 		return errTargetLeft
