--- a/internal/tool/soak/grown_test.go
+++ b/internal/tool/soak/grown_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync"
@@ -93,8 +94,8 @@
 	var killed, started, done sync.WaitGroup
 	killed.Add(count)
 	started.Add(1)
-	for i := range count {
-		p := f.hosts[(first+i*7)%len(f.hosts)]
+	for _, i := range rand.New(rand.NewPCG(uint64(first), 2)).Perm(len(f.hosts))[:count] {
+		p := f.hosts[i]
 		done.Go(func() {
 			p.stepMu.Lock()
 			defer p.stepMu.Unlock()
@@ -120,12 +121,12 @@
 	f.mu.Lock()
 	count := max(2, int(leavingShare*float64(len(f.targets))))
 	var leaving []*target
-	for i := range count {
-		leaving = append(leaving, f.targets[(s.index+i*5)%len(f.targets)])
+	for _, i := range rand.New(rand.NewPCG(uint64(s.index), 3)).Perm(len(f.targets))[:count] {
+		leaving = append(leaving, f.targets[i])
 	}
 	f.mu.Unlock()
 	var done sync.WaitGroup
-	for i, t := range slices.Compact(leaving) {
+	for i, t := range leaving {
 		kind := drainTarget
 		if i%3 == 0 {
 			kind = unlistTarget
