Count crashes by deadly parts as those of the target in checkCuts

Their targets may have been crashed by a request with a deadly part meanwhile; the new check knew of no such crashes, which the targets record. It now passes over a request only if its target recorded a crash while it ran.

--- a/internal/tool/soak/grown_test.go
+++ b/internal/tool/soak/grown_test.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/cicadamill/cicadamill/platform/fake"
 )
 
 // Steps of many hosts, targets or callers at once. The plans of older seeds do not draw
@@ -169,6 +171,9 @@
 			continue
 		}
 		last := runs[len(runs)-1]
+		if c.crashedDuring(last.Target, r) {
+			continue
+		}
 		if !slices.ContainsFunc(c.targetFaults[last.Target], func(s span) bool {
 			return s.from.Before(r.ended) && (s.to.IsZero() || s.to.After(r.sent))
 		}) {
@@ -177,3 +182,14 @@
 	}
 	return found
 }
+
+// crashDelay is the longest time between the arrival of a request and the crash of its
+// target.
+const crashDelay = 100 * time.Millisecond
+
+// crashedDuring reports whether a request crashed a target while it ran another one.
+func (c *checker) crashedDuring(target string, r record) bool {
+	return slices.ContainsFunc(c.crashes, func(crash fake.Run) bool {
+		return crash.Target == target && crash.At.After(r.sent.Add(-crashDelay)) && crash.At.Before(r.ended)
+	})
+}
