--- a/review/_stand2/case10.go
+++ b/review/_stand2/case10.go
@@ -39,7 +39,7 @@
 // checks that the engines get them.
 func twoModels(ctx context.Context, s *site) ([]string, error) {
 	var engines []*pairEngine
-	for i := range 3 {
+	for i := range 6 {
 		e := &pairEngine{site: s, id: fmt.Sprintf("i-pair%d", i+1), versions: map[string]int{model: 1, secondModel: 1}}
 		if err := e.start(ctx); err != nil {
 			return nil, err
