--- a/review/_stand2/case7.go
+++ b/review/_stand2/case7.go
@@ -91,12 +91,13 @@
 }
 
 // turns returns where holders took turns at an engine: the holder changed twice in a row,
-// each time less than leaseMs after the last order of the one before. A single change is
-// recorded only.
+// each time less than leaseMs after the last order of the one before, and less than leaseMs
+// after the other change. A single change is recorded only.
 func (s *site) turns() (broken []string) {
 	for _, e := range s.engines {
 		orders := e.ordersSeen()
 		var last string
+		var lastAt time.Time
 		for i := 1; i < len(orders); i++ {
 			before, o := orders[i-1], orders[i]
 			if o.holder == before.holder {
@@ -112,10 +113,10 @@
 				continue
 			}
 			s.record.add("%s got an order from %s, leaseMs is %d", e.id, change, leaseTime.Milliseconds())
-			if last != "" {
+			if last != "" && o.at.Sub(lastAt) < leaseTime {
 				broken = append(broken, fmt.Sprintf("ONE: holders took turns at %s: %s, then %s; leaseMs is %d", e.id, last, change, leaseTime.Milliseconds()))
 			}
-			last = change
+			last, lastAt = change, o.at
 		}
 	}
 	return broken
