--- a/review/_stand2/site.go
+++ b/review/_stand2/site.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -211,13 +213,25 @@
 // leaseTime is leaseMs of the settings.
 const leaseTime = 3 * time.Second
 
+// Hosts listen on ports below the ephemeral range, so that no outgoing connection takes a
+// port while its host is down.
+const (
+	firstPort = 12_000
+	portCount = 18_000
+)
+
+var portsTried atomic.Int64
+
 // freePort returns a loopback address whose port is free.
 func freePort() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range portCount {
+		port := firstPort + (int64(os.Getpid())*61+portsTried.Add(1))%portCount
+		address := fmt.Sprint("127.0.0.1:", port)
+		if listener, err := net.Listen("tcp", address); err == nil {
+			return address, listener.Close()
+		}
 	}
-	return listener.Addr().String(), listener.Close()
+	return "", errors.New("no port is free")
 }
 
 // start starts the process.
