--- a/review/_stand2/case10.go
+++ b/review/_stand2/case10.go
@@ -33,6 +33,8 @@
 	versions map[string]int
 	seq      int
 	busy     bool
+	// loading is the model whose weights are loaded; empty for none.
+	loading string
 }
 
 // twoModels names new weights of both models of the engines, one after the other, and
@@ -167,6 +169,13 @@
 	default:
 		id, name := r.Header.Get("X-Cicadamill-Request-Id"), r.Header.Get("X-Cicadamill-Model")
 		has := e.has()[name]
+		e.mu.Lock()
+		loading := e.loading == name
+		e.mu.Unlock()
+		if loading {
+			refuse(http.StatusServiceUnavailable)
+			return
+		}
 		if expected := r.Header.Get("X-Cicadamill-Expect-Version"); expected != "" && expected != strconv.Itoa(has) {
 			refuse(http.StatusMisdirectedRequest)
 			return
@@ -211,11 +220,11 @@
 	case e.busy || o.Expected != nil && *o.Expected != e.seq:
 		return http.StatusConflict
 	}
-	e.busy = true
+	e.busy, e.loading = true, name
 	e.seq++
 	time.AfterFunc(loadTime, func() {
 		e.mu.Lock()
-		e.busy, e.versions[name] = false, o.Version
+		e.busy, e.loading, e.versions[name] = false, "", o.Version
 		e.mu.Unlock()
 		_ = e.publish()
 	})
--- a/review/_stand2/case7.go
+++ b/review/_stand2/case7.go
@@ -21,7 +21,7 @@
 // ordersInTurn names new weights and restarts the hosts in turn, the one that sends the
 // orders first, while one engine leaves its orders unanswered.
 func ordersInTurn(ctx context.Context, s *site) ([]string, error) {
-	if err := s.startSmall(ctx, 3, 4); err != nil {
+	if err := s.startSmall(ctx, 9, 4); err != nil {
 		return nil, err
 	}
 	for n := range rolls {
@@ -29,6 +29,7 @@
 			return s.turns(), err
 		}
 	}
+	s.record.add("%s", s.unanswered())
 	return s.turns(), nil
 }
 
@@ -68,6 +69,24 @@
 	return nil
 }
 
+// unanswered tells how many orders got no answer, of those within the times in which the
+// first engine gives none.
+func (s *site) unanswered() string {
+	without, all := 0, 0
+	for _, e := range s.engines {
+		for _, o := range e.ordersSeen() {
+			if !o.inTrouble {
+				continue
+			}
+			all++
+			if o.status == 0 {
+				without++
+			}
+		}
+	}
+	return fmt.Sprintf("%d of %d orders in the time of trouble got no answer", without, all)
+}
+
 // firstEngine returns the model engine that leaves its orders unanswered.
 func (s *site) firstEngine() *engine { return s.engines[plainTargets] }
 
--- a/review/_stand2/case9.go
+++ b/review/_stand2/case9.go
@@ -18,9 +18,9 @@
 	// checksPerS is the number of requests for streams a second, checkTime for how long
 	// clients send them.
 	checksPerS = 16
-	checkTime  = 40 * time.Second
-	// fullEvery is how many requests an engine gets for each one that it refuses since it
-	// is full. A copy of each refusal comes late: one in so many answers is spoiled.
+	checkTime  = 60 * time.Second
+	// fullEvery is how many requests an engine in trouble gets for each one that it refuses.
+	// A copy of each refusal comes late: one in so many answers is spoiled.
 	fullEvery = spoiled
 	// firstToken is the time from the start of a request to its first event.
 	firstToken = 700 * time.Millisecond
@@ -45,13 +45,13 @@
 	counts map[string]int
 }
 
-// lateRefusals lets half of the engines send a late copy of a refusal where the answer to
-// the next request is expected, and checks that none of them works on a request that has
+// lateRefusals lets one of the engines refuse some requests and send a late copy of the
+// refusal where the answer to the next request is expected, and checks that none of them works on a request that has
 // gone on at another one.
 func lateRefusals(ctx context.Context, s *site) ([]string, error) {
 	engines := &busyEngines{site: s, works: map[string][]*work{}, counts: map[string]int{}}
 	for i := range 4 {
-		if err := engines.start(ctx, fmt.Sprintf("i-busy%d", i+1), trouble() && i < 2); err != nil {
+		if err := engines.start(ctx, fmt.Sprintf("i-busy%d", i+1), trouble() && i == 0); err != nil {
 			return nil, err
 		}
 	}
@@ -89,8 +89,8 @@
 	return broken
 }
 
-// start starts an engine. If late is true, copies of its refusals come late, for some
-// seconds again and again.
+// start starts an engine. If late is true, it refuses some requests, and copies of these
+// refusals come late, for some seconds again and again.
 func (b *busyEngines) start(ctx context.Context, id string, late bool) error {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -148,13 +148,12 @@
 			fmt.Fprintf(conn, refusal, "421 Misdirected Request")
 			continue
 		}
-		if b.isFull(engine) {
+		inTrouble := late && time.Since(b.site.record.began)%(spoilTime+spoilPause) < spoilTime
+		if inTrouble && b.isFull(engine) {
 			text := fmt.Sprintf(refusal, "503 Service Unavailable")
-			b.site.record.add("%s is full and refuses %s", engine, id)
+			b.site.record.add("%s refuses %s", engine, id)
 			_, _ = io.WriteString(conn, text)
-			if late && time.Since(b.site.record.began)%(spoilTime+spoilPause) < spoilTime {
-				copyDue = text
-			}
+			copyDue = text
 			continue
 		}
 		w := b.begin(engine, id)
--- a/review/_stand2/engine.go
+++ b/review/_stand2/engine.go
@@ -57,6 +57,8 @@
 	holder string
 	fence  uint64
 	status int
+	// inTrouble is true while some engine leaves its orders unanswered.
+	inTrouble bool
 }
 
 // connKey is the key of the state of a connection, connState that state.
@@ -121,6 +123,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.silent = on
+	e.site.silence.Store(on)
 }
 
 // ServeHTTP implements [http.Handler].
@@ -184,7 +187,7 @@
 		status = e.accept(o)
 	}
 	e.mu.Lock()
-	e.orders = append(e.orders, orderSeen{at: at, engine: e.id, holder: o.Holder, fence: o.Fence, status: status})
+	e.orders = append(e.orders, orderSeen{at: at, engine: e.id, holder: o.Holder, fence: o.Fence, status: status, inTrouble: e.site.silence.Load()})
 	e.mu.Unlock()
 	if !silent {
 		e.site.record.add("%s gets an order for weights %d from %s, fence %d: %d", e.id, o.Version, o.Holder, o.Fence, status)
--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -2,9 +2,9 @@
 // processes on loopback addresses, with stand-ins of the platform's store, the engines
 // and the clients, and checks what these see.
 //
-//	target/review2 CASE FOLDER
+//	target/review2 CASE RECORD
 //
-// It writes FOLDER/record.txt and exits with 1 if the rule was broken, 0 if it held and 2
+// It writes RECORD, the path of record.txt, and exits with 1 if the rule was broken, 0 if it held and 2
 // if the case couldn't run. With TROUBLE=0 it leaves out the disruption.
 package main
 
@@ -12,7 +12,6 @@
 	"context"
 	"fmt"
 	"os"
-	"path/filepath"
 	"sync"
 	"time"
 )
@@ -38,14 +37,14 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: review2 CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: review2 CASE RECORD")
 		os.Exit(cantRun)
 	}
 	os.Exit(run(os.Args[1], os.Args[2]))
 }
 
-func run(name, folder string) int {
-	record, err := newRecord(filepath.Join(folder, "record.txt"))
+func run(name, path string) int {
+	record, err := newRecord(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return cantRun
--- a/review/_stand2/site.go
+++ b/review/_stand2/site.go
@@ -49,6 +49,8 @@
 	store   *fake.Store
 	server  *http.Server
 	address string
+	// silence is true while an engine leaves its orders unanswered.
+	silence atomic.Bool
 	// slots is how many requests each engine runs at once.
 	slots int
 
