Report a reset to the reader if a write got the error

Callers got a part of an answer as a complete one: a target answered a long request at once without a length, sent a part and reset the connection while the request was still being written.

Cause: Linux reports the error of a reset to one call only. The write that was blocked in the request took it, and the read saw the same end as after a proper close, which completes a body without a length.

The guarded connection keeps the first error of a write that means that the connection broke, and returns it in place of the end of the input. A write in progress may be the one that has the error, so it is interrupted and awaited. EPIPE is no such error: a peer that has ended its side properly before it resets has sent a whole answer.

--- a/internal/gate/proxy/proxy_test.go
+++ b/internal/gate/proxy/proxy_test.go
@@ -196,6 +196,9 @@
 
 type option func(*proxy.Options)
 
+// unreadHeader makes a target answer before it has read the body of the request.
+const unreadHeader = "Unread"
+
 // newFixture starts a handler in front of targets of one service. A nil target is
 // unreachable.
 func newFixture(t testing.TB, targets []target, options ...option) *fixture {
@@ -207,7 +210,10 @@
 		if serve != nil {
 			server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 				defer w.end()
-				body, _ := io.ReadAll(r.Body)
+				var body []byte
+				if r.Header.Get(unreadHeader) == "" {
+					body, _ = io.ReadAll(r.Body)
+				}
 				w.mu.Lock()
 				w.headers = append(w.headers, r.Header.Clone())
 				w.bodies = append(w.bodies, string(body))
--- a/internal/target/egress/guard.go
+++ b/internal/target/egress/guard.go
@@ -3,15 +3,20 @@
 //
 // It wraps the connection, below the HTTP client, so that the record is exact
 // and so that the client can't send a request twice: net/http retries a
-// request that has an Idempotency-Key when a reused connection breaks.
+// request that has an Idempotency-Key when a reused connection breaks. Reads of
+// the connection end with an error if it was reset, even if the kernel reported
+// that to a write.
 package egress
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http/httptrace"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -139,6 +144,34 @@
 	written *Guard
 	// last is the guard of the last request; nil if further ones may follow.
 	last atomic.Pointer[Guard]
+	// writing is held during a write; broken is the first error of a write that means
+	// that the connection broke.
+	writing sync.Mutex
+	broken  error
+}
+
+// Read implements [net.Conn]. The kernel reports a reset to one call only: if that is a
+// write, reads see the same end as after a proper close.
+func (c *guardedConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if errors.Is(err, io.EOF) {
+		if broken := c.writeError(); broken != nil {
+			return n, broken
+		}
+	}
+	return n, err
+}
+
+// writeError returns the error of a write that means that the connection broke. At the end
+// of the input it interrupts a write in progress: the peer has answered, and may never
+// read the rest of the request.
+func (c *guardedConn) writeError() error {
+	if !c.writing.TryLock() {
+		_ = c.SetWriteDeadline(time.Unix(1, 0))
+		c.writing.Lock()
+	}
+	defer c.writing.Unlock()
+	return c.broken
 }
 
 // Write implements [net.Conn].
@@ -158,5 +191,17 @@
 			return 0, err
 		}
 	}
-	return c.Conn.Write(data)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(data)
+	if c.broken == nil && isBreak(err) {
+		c.broken = err
+	}
+	return n, err
+}
+
+// isBreak reports whether the error of a write means that the connection broke. EPIPE
+// doesn't: the peer had ended its side before, or an earlier call got the error.
+func isBreak(err error) bool {
+	return err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed)
 }
--- a/internal/target/web/web_test.go
+++ b/internal/target/web/web_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -29,3 +31,48 @@
 	assert.Equal(t, web.TimedOut, failure.Code)
 	assert.IsType(t, effect.Unknown{}, failure.Outcome)
 }
+
+const (
+	// uploadBytes is more than the buffers of a connection hold, resetPause the time in
+	// which the caller gets the answer and blocks in the upload.
+	uploadBytes = 10 << 20
+	resetPause  = 2 * time.Millisecond
+	uploadTries = 20
+)
+
+// TestResetDuringTheUpload has a target answer a long call at once, without a length, and
+// reset the connection while the call is still being written.
+func TestResetDuringTheUpload(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, _ := w.(http.Hijacker).Hijack()
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+		time.Sleep(resetPause)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}))
+	defer server.Close()
+	client, check := web.New(), func() error { return nil }
+	calls := map[string]func(request web.Request) error{
+		"once": func(request web.Request) error {
+			_, err := client.CallOnce(t.Context(), server.Listener.Addr().String(), request, check)
+			return err
+		},
+		"repeatable": func(request web.Request) error {
+			response, err := client.CallRepeatable(t.Context(), server.Listener.Addr().String(), request, check)
+			if err != nil {
+				return err
+			}
+			defer func() { _ = response.Body.Close() }()
+			_, err = io.Copy(io.Discard, response.Body)
+			return err
+		},
+	}
+	for name, call := range calls {
+		t.Run(name, func(t *testing.T) {
+			for range uploadTries {
+				body, length := web.BytesBody(make([]byte, uploadBytes))
+				require.Error(t, call(web.Request{Method: http.MethodPost, URI: "/pay", Header: http.Header{}, Body: body, Length: length}), "it looks complete")
+			}
+		})
+	}
+}
