Reject answers whose status line is invalid

Callers got statuses that HTTP doesn't have, such as 600 and 999, and 101 although they had asked for no other protocol. At a status below 100, 000 among them, the handler panicked: the caller's connection was closed without an answer, a request that may be repeated was not repeated, and the target kept the load of the attempt for good. With status 000 a target's statement that it had not run the request was trusted, and the request sent again. The client of plain services stored status 000 as the answer of an action; an order and a message to a peer counted as accepted.

Cause: net/http takes any three characters that are a number as a status, and any digit as a version. Nothing checked it after that.

The new transport of internal/target/answer returns an error in place of such a response. All clients that read answers of targets, peers and the platform use it, so that an invalid answer is treated like bytes that are none: the request may have run. After one the connection takes no further request.

--- a/internal/gate/peers/peers.go
+++ b/internal/gate/peers/peers.go
@@ -20,6 +20,7 @@
 	"github.com/cicadamill/cicadamill/internal/gate/oplog"
 	"github.com/cicadamill/cicadamill/internal/gate/pick"
 	"github.com/cicadamill/cicadamill/internal/gate/tree"
+	"github.com/cicadamill/cicadamill/internal/target/answer"
 )
 
 const (
@@ -135,10 +136,10 @@
 	dialer := &net.Dialer{Timeout: callTimeout}
 	return &Peers{
 		options: options, start: rand.Uint64(), tree: tree.New(options.Self), links: map[string]*link{},
-		client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{
+		client: &http.Client{Timeout: callTimeout, Transport: answer.New(&http.Transport{
 			DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1,
 			IdleConnTimeout: 10 * time.Second, ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10, MaxResponseHeaderBytes: maxHeaderBytes,
-		}},
+		})},
 	}
 }
 
--- a/internal/gate/pool/pool.go
+++ b/internal/gate/pool/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cicadamill/cicadamill/internal/gate/roster"
+	"github.com/cicadamill/cicadamill/internal/target/answer"
 	"github.com/cicadamill/cicadamill/internal/target/egress"
 )
 
@@ -48,7 +49,7 @@
 	startedAt int64
 	address   string
 	conns     int
-	transport *http.Transport
+	transport *answer.Transport
 }
 
 // New returns a pool without connections. The function onDial, which may be
@@ -67,7 +68,7 @@
 	return transport.RoundTrip(request.WithContext(guard.Context(request.Context())))
 }
 
-func (p *Pool) transport(t roster.Target, conns int) *http.Transport {
+func (p *Pool) transport(t roster.Target, conns int) *answer.Transport {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	g, ok := p.groups[t.ID]
@@ -82,11 +83,11 @@
 	return g.transport
 }
 
-func (p *Pool) newTransport(id string, conns int) *http.Transport {
+func (p *Pool) newTransport(id string, conns int) *answer.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 	}}
-	return &http.Transport{
+	return answer.New(&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -104,7 +105,7 @@
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		ReadBufferSize:         bufferBytes,
 		WriteBufferSize:        bufferBytes,
-	}
+	})
 }
 
 // Keep closes the idle connections of targets that are not on the list or have
--- a/internal/node/server/config.go
+++ b/internal/node/server/config.go
@@ -12,6 +12,7 @@
 	"github.com/cicadamill/cicadamill/internal/infra/webobj"
 	"github.com/cicadamill/cicadamill/internal/infra/webtab"
 	"github.com/cicadamill/cicadamill/internal/node/follow"
+	"github.com/cicadamill/cicadamill/internal/target/answer"
 )
 
 // peersInterval is how often the follower's peers are updated from the fleet.
@@ -36,7 +37,7 @@
 	store := record.New(webtab.New(s.settings.TableAddress, s.http), webobj.New(s.settings.ObjectAddress, s.http))
 	c := &configs{server: s, store: store}
 	c.follower = follow.New(follow.Options{
-		Address: s.fleet.address(), Seed: rand.Uint64(), Store: store, Peers: share.New(scheme, &http.Client{Transport: transport}),
+		Address: s.fleet.address(), Seed: rand.Uint64(), Store: store, Peers: share.New(scheme, &http.Client{Transport: answer.New(transport)}),
 		Apply: func(ctx context.Context, version uint64, config site.Config) error {
 			return s.applyConfig(ctx, version, nil, config)
 		},
--- a/internal/node/server/effects.go
+++ b/internal/node/server/effects.go
@@ -16,6 +16,7 @@
 	"github.com/cicadamill/cicadamill/internal/node/once"
 	"github.com/cicadamill/cicadamill/internal/node/sweep"
 	"github.com/cicadamill/cicadamill/internal/safety/batch"
+	"github.com/cicadamill/cicadamill/internal/target/answer"
 )
 
 const (
@@ -39,7 +40,7 @@
 // openEffects starts the background services. The caller must call close after
 // the callers' listener has drained.
 func (s *Server) openEffects(clock *boot.Clock) *effects {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: platformConnections, IdleConnTimeout: idleTimeout}}
+	client := &http.Client{Transport: answer.New(&http.Transport{MaxIdleConnsPerHost: platformConnections, IdleConnTimeout: idleTimeout})}
 	table := webtab.New(s.settings.TableAddress, client)
 	objects := webobj.New(s.settings.ObjectAddress, client)
 	scope := s.telemetry.scope()
--- a/internal/node/server/fleet.go
+++ b/internal/node/server/fleet.go
@@ -24,6 +24,7 @@
 	"github.com/cicadamill/cicadamill/internal/peer/hop"
 	"github.com/cicadamill/cicadamill/internal/peer/wire"
 	"github.com/cicadamill/cicadamill/internal/route/cell"
+	"github.com/cicadamill/cicadamill/internal/target/answer"
 	"github.com/cicadamill/cicadamill/internal/target/engine"
 )
 
@@ -87,7 +88,7 @@
 	}
 	f.listener = listener
 	f.gossip = gossip.New(f.gossipOptions(wire.New(scheme, gossipClient(transport.Clone()))))
-	f.forwarder = steer.New(s.cells, hop.New(scheme, &http.Client{Transport: transport}, hop.Options{}), f.gossip, f.scope())
+	f.forwarder = steer.New(s.cells, hop.New(scheme, &http.Client{Transport: answer.New(transport)}, hop.Options{}), f.gossip, f.scope())
 	f.mux.Handle("/v1/peer/", wire.Handler(f.gossip))
 	f.mux.Handle(hop.Path, hop.Handler(f.forwarder.RunForwarded))
 	limits := s.settings.Limits.WithDefaults()
@@ -116,7 +117,7 @@
 	transport.MaxIdleConns = gossipIdleConns
 	transport.IdleConnTimeout = gossipIdleTimeout
 	transport.DialContext = (&net.Dialer{Timeout: gossipDialTimeout}).DialContext
-	return &http.Client{Transport: transport}
+	return &http.Client{Transport: answer.New(transport)}
 }
 
 func (f *fleet) gossipOptions(peers *wire.Client) gossip.Options {
--- a/internal/node/server/orders.go
+++ b/internal/node/server/orders.go
@@ -6,6 +6,7 @@
 	"github.com/cicadamill/cicadamill/internal/infra/boot"
 	"github.com/cicadamill/cicadamill/internal/infra/webtab"
 	"github.com/cicadamill/cicadamill/internal/node/orders"
+	"github.com/cicadamill/cicadamill/internal/target/answer"
 	"github.com/cicadamill/cicadamill/internal/target/egress"
 	"github.com/cicadamill/cicadamill/internal/target/engine"
 	"github.com/cicadamill/cicadamill/internal/target/remote"
@@ -15,7 +16,7 @@
 // holds the orders lease. It has an HTTP client of its own, whose connections
 // check the lease when they write to the socket.
 func (s *Server) orderSender(clock *boot.Clock) *orders.Sender {
-	client := &http.Client{Transport: &http.Transport{DialContext: egress.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout}}
+	client := &http.Client{Transport: answer.New(&http.Transport{DialContext: egress.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout})}
 	options := orders.DefaultOptions
 	options.Config = s.applied.Config
 	options.Table = webtab.New(s.settings.TableAddress, client)
--- a/internal/node/server/stream.go
+++ b/internal/node/server/stream.go
@@ -12,6 +12,7 @@
 	"github.com/cicadamill/cicadamill/internal/node/poll"
 	"github.com/cicadamill/cicadamill/internal/route/cell"
 	"github.com/cicadamill/cicadamill/internal/safety/crash"
+	"github.com/cicadamill/cicadamill/internal/target/answer"
 )
 
 const (
@@ -42,9 +43,9 @@
 // host is gone and sends no reset.
 func engineClient() *http.Client {
 	dialer := &net.Dialer{Timeout: engineDialTimeout}
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: answer.New(&http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: engineConnections, IdleConnTimeout: idleTimeout, DisableCompression: true,
-	}}
+	})}
 }
 
 // poller returns the service that polls the engines and passes their reports to
--- /dev/null
+++ b/internal/target/answer/answer.go
@@ -0,0 +1,57 @@
+// Package answer rejects HTTP responses that are invalid although net/http accepts them.
+package answer
+
+import (
+	"fmt"
+	"net/http"
+)
+
+const (
+	// minStatus is the lowest status of an answer. Lower ones of three digits are interim
+	// answers, which net/http skips, and a switch of protocol, which nobody asks for.
+	minStatus = 200
+	// maxStatus is the highest status (RFC 9110, section 15).
+	maxStatus = 599
+)
+
+// InvalidError means that a response is no valid answer. The request may have run.
+type InvalidError struct {
+	// Reason is what is invalid.
+	Reason string
+}
+
+// Error implements error.
+func (e *InvalidError) Error() string { return "invalid answer: " + e.Reason }
+
+// Transport is an [http.RoundTripper] that returns only valid responses. See [New].
+type Transport struct{ *http.Transport }
+
+// New returns a transport that returns an [*InvalidError] in place of a response of
+// another one that is invalid.
+//
+//	client := &http.Client{Transport: answer.New(&http.Transport{})}
+func New(transport *http.Transport) *Transport { return &Transport{Transport: transport} }
+
+// RoundTrip implements [http.RoundTripper].
+func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := t.Transport.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	if err := check(response); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
+	return response, nil
+}
+
+func check(response *http.Response) error {
+	switch {
+	case response.ProtoMajor != 1:
+		return &InvalidError{Reason: fmt.Sprintf("version %.20q", response.Proto)}
+	case response.StatusCode < minStatus || response.StatusCode > maxStatus:
+		return &InvalidError{Reason: fmt.Sprintf("status %.20q", response.Status)}
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/target/answer/answer_test.go
@@ -0,0 +1,124 @@
+package answer_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cicadamill/cicadamill/internal/target/answer"
+)
+
+// serve answers each request on a listener with a text, and returns its URL.
+func serve(t testing.TB, text string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ended := make(chan error, 1)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				ended <- err
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.WriteString(conn, text)
+			}
+			_ = conn.Close()
+		}
+	}()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		<-ended
+	})
+	return "http://" + listener.Addr().String() + "/"
+}
+
+// get returns the body of the response to a GET.
+func get(t testing.TB, url string) (string, error) {
+	t.Helper()
+	transport := answer.New(&http.Transport{})
+	defer transport.CloseIdleConnections()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
+	require.NoError(t, err)
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return string(body), err
+}
+
+const rest = "Content-Length: 4\r\n\r\nbody"
+
+func TestValidHeads(t *testing.T) {
+	heads := map[string]string{
+		"success":             "HTTP/1.1 200 OK\r\n",
+		"HTTP/1.0":            "HTTP/1.0 200 OK\r\n",
+		"without a reason":    "HTTP/1.1 200\r\n",
+		"highest status":      "HTTP/1.1 599 Error\r\n",
+		"after interim ones":  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\n",
+		"all bytes of a name": "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: x\r\n",
+		"blanks in values":    "HTTP/1.1 200 OK\r\nA:  b c\td \r\nB:\r\n",
+	}
+	for name, head := range heads {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			body, err := get(t, serve(t, head+rest))
+			require.NoError(t, err)
+			assert.Equal(t, "body", body)
+		})
+	}
+}
+
+func TestInvalidHeads(t *testing.T) {
+	lines := map[string]string{
+		"status 000":         "HTTP/1.1 000 OK\r\n",
+		"status 099":         "HTTP/1.1 099 OK\r\n",
+		"switch of protocol": "HTTP/1.1 101 Switching Protocols\r\n",
+		"upgrade":            "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n",
+		"status 600":         "HTTP/1.1 600 Error\r\n",
+		"negative":           "HTTP/1.1 -00 OK\r\n",
+		"with a sign":        "HTTP/1.1 +20 OK\r\n",
+		"HTTP/2":             "HTTP/2.0 200 OK\r\n",
+		"HTTP/0.9":           "HTTP/0.9 200 OK\r\n",
+	}
+	for name, line := range lines {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			_, err := get(t, serve(t, line+rest))
+			var invalid *answer.InvalidError
+			assert.ErrorAs(t, err, &invalid)
+		})
+	}
+}
+
+func TestReasonIsShort(t *testing.T) {
+	_, err := get(t, serve(t, "HTTP/1.1 000 "+strings.Repeat("x", 1000)+"\r\n"+rest))
+	require.Error(t, err)
+	assert.Less(t, len(err.Error()), 100)
+}
+
+func ExampleTransport() {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, _ := w.(http.Hijacker).Hijack()
+		_, _ = io.WriteString(conn, "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n")
+		_ = conn.Close()
+	}))
+	defer server.Close()
+	client := &http.Client{Transport: answer.New(&http.Transport{})}
+	_, err := client.Post(server.URL, "text/plain", nil)
+	var invalid *answer.InvalidError
+	fmt.Println(errors.As(err, &invalid), invalid)
+	// Output: true invalid answer: status "000 OK"
+}
--- a/internal/target/web/web.go
+++ b/internal/target/web/web.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"github.com/cicadamill/cicadamill/internal/safety/effect"
+	"github.com/cicadamill/cicadamill/internal/target/answer"
 	"github.com/cicadamill/cicadamill/internal/target/egress"
 )
 
@@ -30,8 +31,8 @@
 type Client struct {
 	// unpooled opens a connection for each call, so that a call is never lost
 	// on an idle connection that the target is closing.
-	unpooled *http.Transport
-	pooled   *http.Transport
+	unpooled *answer.Transport
+	pooled   *answer.Transport
 }
 
 // New returns a client without open connections.
@@ -40,8 +41,8 @@
 //	response, err := client.CallOnce(ctx, "127.0.0.1:9101", request, check)
 func New() *Client {
 	return &Client{
-		unpooled: &http.Transport{DialContext: egress.Dial, DisableKeepAlives: true, DisableCompression: true},
-		pooled:   &http.Transport{DialContext: egress.Dial, MaxIdleConnsPerHost: maxIdlePerTarget, IdleConnTimeout: idleTimeout, DisableCompression: true},
+		unpooled: answer.New(&http.Transport{DialContext: egress.Dial, DisableKeepAlives: true, DisableCompression: true}),
+		pooled:   answer.New(&http.Transport{DialContext: egress.Dial, MaxIdleConnsPerHost: maxIdlePerTarget, IdleConnTimeout: idleTimeout, DisableCompression: true}),
 	}
 }
 
@@ -100,7 +101,7 @@
 	return response, nil
 }
 
-func (c *Client) send(ctx context.Context, transport *http.Transport, address string, request Request, check func() error) (*http.Response, error) {
+func (c *Client) send(ctx context.Context, transport *answer.Transport, address string, request Request, check func() error) (*http.Response, error) {
 	guard := egress.New(check)
 	outgoing, err := newRequest(guard.Context(ctx), address, request)
 	if err != nil {
@@ -113,6 +114,8 @@
 	case !guard.Sent():
 		return nil, newError(ctx, address, Unreachable, effect.NotRun{Reason: "no byte left"}, err)
 	default:
+		// The rest of an invalid answer would pass for the answer to the next call.
+		guard.Retire()
 		return nil, newError(ctx, address, Broken, effect.Unknown{Reason: "no answer"}, err)
 	}
 }
--- a/internal/target/web/web_test.go
+++ b/internal/target/web/web_test.go
@@ -76,3 +76,28 @@
 		})
 	}
 }
+
+// TestInvalidAnswerIsUnknown has a target answer with a status that HTTP doesn't have. The
+// call may have run, and its caller gets no such answer.
+func TestInvalidAnswerIsUnknown(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, _ := w.(http.Hijacker).Hijack()
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, "HTTP/1.1 000 OK\r\nX-Not-Run: true\r\nContent-Length: 4\r\n\r\npaid")
+	}))
+	defer server.Close()
+	request := web.Request{Method: http.MethodPost, URI: "/pay", Header: http.Header{}}
+	check := func() error { return nil }
+	client := web.New()
+	_, once := client.CallOnce(t.Context(), server.Listener.Addr().String(), request, check)
+	response, repeatable := client.CallRepeatable(t.Context(), server.Listener.Addr().String(), request, check)
+	if response != nil {
+		_ = response.Body.Close()
+	}
+	for name, err := range map[string]error{"once": once, "repeatable": repeatable} {
+		var failure *web.Error
+		require.ErrorAs(t, err, &failure, name)
+		assert.Equal(t, web.Broken, failure.Code, name)
+		assert.IsType(t, effect.Unknown{}, failure.Outcome, name)
+	}
+}
