Reject answers with blanks in the names of fields

Callers got answers of a target in whose head the name of a field held a blank, with a body that may not be the target's: "Content-Length : 15" was no length, so that the answer ended with its connection, and "Transfer-Encoding : chunked" passed the lines of chunks on or cut the body. A failed target's statement that a request had not run was trusted in such a head.

Cause: net/http accepts blanks in names for the sake of old programs. It rejects all other bytes that a name may not have, and control bytes in values; the test has them as well.

The transport of internal/target/answer rejects these responses.

The cases with control bytes passed before.

--- a/internal/gate/proxy/head_test.go
+++ b/internal/gate/proxy/head_test.go
@@ -22,8 +22,8 @@
 	}
 }
 
-// TestInvalidHeads has a target answer with a head that is invalid, in ways that
-// net/http accepts. No client may get such an answer: the request may have run, and
+// TestInvalidHeads has a target answer with a head that is invalid, most of them in
+// ways that net/http accepts. No client may get such an answer: the request may have run, and
 // another target answers it if it may be repeated.
 func TestInvalidHeads(t *testing.T) {
 	heads := map[string]target{
@@ -35,6 +35,26 @@
 		"status 999":                     invalidHead("200 OK", "999 Error"),
 		"status with a sign":             invalidHead("200 OK", "+20 OK"),
 		"status of a switch of protocol": invalidHead("200 OK", "101 Switching Protocols"),
+		"blank in a name":                invalidHead("Seal: s", "Seal: s\r\nA b: c"),
+		"blank at the end of a name":     invalidHead("Seal: s", "Seal: s\r\nA : b"),
+		"blank after Content-Length":     invalidHead("Content-Length: 15", "Connection: close\r\nContent-Length : 15"),
+		"blank after a second length":    invalidHead("Seal: s", "Seal: s\r\nContent-Length : 2"),
+		"blank after Transfer-Encoding":  invalidHead("Seal: s", "Seal: s\r\nTransfer-Encoding : chunked"),
+		"blank and no run":               invalidHead("Seal: s", "Not-Run: 1\r\nA b: c", "200 OK", "503 Full"),
+		"blank in a name of a failure":   invalidHead("200 OK", "500 Error", "Seal: s", "Seal: s\r\nA b: c"),
+		"tab in a name":                  invalidHead("Seal: s", "Seal: s\r\nA\tb: c"),
+		"tab at the end of a name":       invalidHead("Seal: s", "Seal: s\r\nA\t: b"),
+		"zero byte in a name":            invalidHead("Seal: s", "Seal: s\r\nA\x00b: c"),
+		"carriage return in a name":      invalidHead("Seal: s", "Seal: s\r\nA\rb: c"),
+		"control byte in a name":         invalidHead("Seal: s", "Seal: s\r\nA\x01: b"),
+		"delete in a name":               invalidHead("Seal: s", "Seal: s\r\nA\x7f: b"),
+		"name in place of the length":    invalidHead("Content-Length", "Content\x0bLength"),
+		"empty name":                     invalidHead("Seal: s", "Seal: s\r\n: b"),
+		"no name":                        invalidHead("Seal: s", "Seal: s\r\nA b"),
+		"control byte in a value":        invalidHead("Seal: s", "Seal: s\r\nA: \x01"),
+		"zero byte in a value":           invalidHead("Seal: s", "Seal: \x00"),
+		"carriage return in a value":     invalidHead("Seal: s", "Seal: s\rA: b"),
+		"folded first line":              invalidHead("Id: r1", " Id: r1"),
 	}
 	for name, head := range heads {
 		for path, whole := range map[string]string{"/once/x": "", "/stream/x": "", "/safe/x": "good", "/resume/x": numbered("\n", 1, lastEvent)} {
--- a/internal/target/answer/answer.go
+++ b/internal/target/answer/answer.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 const (
@@ -51,7 +52,12 @@
 		return &InvalidError{Reason: fmt.Sprintf("version %.20q", response.Proto)}
 	case response.StatusCode < minStatus || response.StatusCode > maxStatus:
 		return &InvalidError{Reason: fmt.Sprintf("status %.20q", response.Status)}
-	default:
-		return nil
 	}
+	for name := range response.Header {
+		// The recipient might take "Content-Length : 2" for the length or for another field.
+		if strings.Contains(name, " ") {
+			return &InvalidError{Reason: fmt.Sprintf("field name %.40q", name)}
+		}
+	}
+	return nil
 }
--- a/internal/target/answer/answer_test.go
+++ b/internal/target/answer/answer_test.go
@@ -92,6 +92,8 @@
 		"with a sign":        "HTTP/1.1 +20 OK\r\n",
 		"HTTP/2":             "HTTP/2.0 200 OK\r\n",
 		"HTTP/0.9":           "HTTP/0.9 200 OK\r\n",
+		"blank in a name":    "HTTP/1.1 200 OK\r\nA b: c\r\n",
+		"blank after a name": "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n",
 	}
 	for name, line := range lines {
 		t.Run(name, func(t *testing.T) {
