Reject answers with folded lines in their heads

Callers got a line of a target's head that begins with a blank as a part of the value of the field before, the seal or the target's ID among them. If that line was the length, the answer ended with its connection.

Cause: net/http joins such lines to the line before, and doesn't say so. A gateway may replace these answers by a 502 (RFC 9112, section 5.2).

The guarded connection looks at the lines of the head that follows the beginning of a request, those of interim answers included, and ends in an error at a folded one.

--- a/internal/target/egress/guard.go
+++ b/internal/target/egress/guard.go
@@ -5,7 +5,8 @@
 // and so that the client can't send a request twice: net/http retries a
 // request that has an Idempotency-Key when a reused connection breaks. Reads of
 // the connection end with an error if it was reset, even if the kernel reported
-// that to a write.
+// that to a write, or if the head of the answer to a request with a guard has a
+// folded line.
 package egress
 
 import (
@@ -148,12 +149,22 @@
 	// that the connection broke.
 	writing sync.Mutex
 	broken  error
+	// sending is true if a request was begun since the last read. head is the head of the
+	// answer to a request with a guard; only Read uses it.
+	sending atomic.Bool
+	head    head
 }
 
 // Read implements [net.Conn]. The kernel reports a reset to one call only: if that is a
 // write, reads see the same end as after a proper close.
 func (c *guardedConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
+	if c.sending.Swap(false) {
+		c.head = head{reading: true}
+	}
+	if err := c.head.scan(data[:n]); err != nil {
+		return 0, err
+	}
 	if errors.Is(err, io.EOF) {
 		if broken := c.writeError(); broken != nil {
 			return n, broken
@@ -182,6 +193,7 @@
 			<-c.written.judged
 		}
 		c.written = guard
+		c.sending.Store(true)
 	}
 	if last := c.last.Load(); last != nil && guard != last {
 		return 0, errRetired
