Limit the heads of answers to 16 KiB everywhere

A server that sends a head without end had the node of the embedded mode read and keep 10 MiB of it on every connection: that is the default of net/http, and the clients of engines, plain services, peers and the platform of that node set no limit. The gateway had limits of 64 and 16 KiB, each client its own.

internal/target/answer, which all of these clients use, sets one limit of 16 KiB; a site allows its callers as much.

--- a/internal/gate/peers/peers.go
+++ b/internal/gate/peers/peers.go
@@ -41,8 +41,6 @@
 	drainedMaxAge = 1500 * time.Millisecond
 	// maxMessageBytes limits the size of a message.
 	maxMessageBytes = 4 << 20
-	// maxHeaderBytes limits the header of a response.
-	maxHeaderBytes = 16 << 10
 )
 
 // Options configures [Peers].
@@ -138,7 +136,7 @@
 		options: options, start: rand.Uint64(), tree: tree.New(options.Self), links: map[string]*link{},
 		client: &http.Client{Timeout: callTimeout, Transport: answer.New(&http.Transport{
 			DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1,
-			IdleConnTimeout: 10 * time.Second, ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10, MaxResponseHeaderBytes: maxHeaderBytes,
+			IdleConnTimeout: 10 * time.Second, ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10,
 		})},
 	}
 }
--- a/internal/gate/pool/pool.go
+++ b/internal/gate/pool/pool.go
@@ -31,8 +31,6 @@
 	// minConns is the number of connections that a node may always open to a
 	// target, even if its share of the target's limit is smaller.
 	minConns = 2
-	// maxHeaderBytes limits the headers of a response.
-	maxHeaderBytes = 64 << 10
 	// bufferBytes is the size of the read and write buffers of a connection.
 	bufferBytes = 4 << 10
 )
@@ -98,13 +96,12 @@
 			}
 			return egress.Wrap(c), nil
 		},
-		MaxConnsPerHost:        conns,
-		MaxIdleConnsPerHost:    conns,
-		IdleConnTimeout:        idleTimeout,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxHeaderBytes,
-		ReadBufferSize:         bufferBytes,
-		WriteBufferSize:        bufferBytes,
+		MaxConnsPerHost:     conns,
+		MaxIdleConnsPerHost: conns,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+		ReadBufferSize:      bufferBytes,
+		WriteBufferSize:     bufferBytes,
 	})
 }
 
--- a/internal/target/answer/answer.go
+++ b/internal/target/answer/answer.go
@@ -13,6 +13,9 @@
 	minStatus = 200
 	// maxStatus is the highest status (RFC 9110, section 15).
 	maxStatus = 599
+	// maxHeadBytes limits the head of a response, interim ones before it included. A
+	// faulty server may send one without end on every connection to it.
+	maxHeadBytes = 16 << 10
 )
 
 // InvalidError means that a response is no valid answer. The request may have run.
@@ -28,10 +31,13 @@
 type Transport struct{ *http.Transport }
 
 // New returns a transport that returns an [*InvalidError] in place of a response of
-// another one that is invalid.
+// another one that is invalid. It limits the heads of that one's responses to 16 KiB.
 //
 //	client := &http.Client{Transport: answer.New(&http.Transport{})}
-func New(transport *http.Transport) *Transport { return &Transport{Transport: transport} }
+func New(transport *http.Transport) *Transport {
+	transport.MaxResponseHeaderBytes = maxHeadBytes
+	return &Transport{Transport: transport}
+}
 
 // RoundTrip implements [http.RoundTripper].
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
--- a/internal/target/answer/answer_test.go
+++ b/internal/target/answer/answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -105,6 +106,52 @@
 	}
 }
 
+// TestHeadWithoutEnd has a server send heads until the caller closes. The caller must read
+// little of them.
+func TestHeadWithoutEnd(t *testing.T) {
+	const bound = 64 << 10
+	tests := map[string]struct{ start, chunk string }{
+		"fields":         {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		"a long field":   {"HTTP/1.1 200 OK\r\nA: ", strings.Repeat("x", 1<<10)},
+		"a status line":  {"HTTP/1.1 200 ", strings.Repeat("x", 1<<10)},
+		"interim ones":   {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"no HTTP at all": {"", strings.Repeat("x", 1<<10)},
+		"folded lines":   {"HTTP/1.1 200 OK\r\nA: b\r\n", " x\r\n"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			sent := make(chan int, 1)
+			transport := answer.New(&http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) {
+				client, server := net.Pipe()
+				go func() { sent <- flood(server, test.start, test.chunk) }()
+				return client, nil
+			}})
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://server/", nil)
+			require.NoError(t, err)
+			_, err = transport.RoundTrip(request)
+			require.Error(t, err)
+			assert.Less(t, <-sent, bound)
+		})
+	}
+}
+
+// flood answers a request with a text that it repeats until the caller closes, and returns
+// the number of bytes that the caller has read.
+func flood(conn net.Conn, start, chunk string) int {
+	defer func() { _ = conn.Close() }()
+	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+		return 0
+	}
+	sent, err := io.WriteString(conn, start)
+	for err == nil {
+		var n int
+		n, err = io.WriteString(conn, chunk)
+		sent += n
+	}
+	return sent
+}
+
 func TestReasonIsShort(t *testing.T) {
 	_, err := get(t, serve(t, "HTTP/1.1 000 "+strings.Repeat("x", 1000)+"\r\n"+rest))
 	require.Error(t, err)
