Limit the lines of the head of an answer

Cause: net/http keeps each field in a map, where a short one takes twenty times its length, and a head that doesn't end stays until the deadline of its request. Only the bytes of a head were limited.

The guarded connection ends in an error at the 257th line of the heads that follow the beginning of a request.

--- a/internal/target/egress/guard.go
+++ b/internal/target/egress/guard.go
@@ -6,7 +6,7 @@
 // request that has an Idempotency-Key when a reused connection breaks. Reads of
 // the connection end with an error if it was reset, even if the kernel reported
 // that to a write, or if the head of the answer to a request with a guard has a
-// folded line.
+// folded line or too many lines.
 package egress
 
 import (
--- a/internal/target/egress/head.go
+++ b/internal/target/egress/head.go
@@ -6,13 +6,20 @@
 	"github.com/cicadamill/cicadamill/internal/target/answer"
 )
 
-// maxLineStart bounds the beginning of a line that a [head] keeps.
-const maxLineStart = 32
+const (
+	// maxLineStart bounds the beginning of a line that a [head] keeps.
+	maxLineStart = 32
+	// maxLines limits the lines of a head, interim ones before it included. In memory a
+	// short field takes twenty times its length.
+	maxLines = 256
+)
 
-// head finds folded lines in the head of an answer. net/http joins them to the line
-// before, so that a field whose name begins with a blank ends up in another one's value.
-// A gateway may reject them (RFC 9112, section 5.2).
+// head finds folded lines in the head of an answer, and heads of too many lines. net/http
+// joins folded lines to the line before, so that a field whose name begins with a blank
+// ends up in another one's value. A gateway may reject them (RFC 9112, section 5.2).
 type head struct {
+	// lines is the number of lines that have ended.
+	lines int
 	// reading is true from the beginning of a head to its end.
 	reading bool
 	// fields is true after the status line.
@@ -31,6 +38,9 @@
 		if h.fields && len(h.line) > 0 && (h.line[0] == ' ' || h.line[0] == '\t') {
 			return &answer.InvalidError{Reason: "folded line"}
 		}
+		if h.lines == maxLines {
+			return &answer.InvalidError{Reason: "too many lines"}
+		}
 		if whole {
 			h.endLine()
 		}
@@ -47,5 +57,6 @@
 	case len(text) == 0:
 		h.reading, h.fields = h.interim, false
 	}
+	h.lines++
 	h.line = h.line[:0]
 }
--- a/internal/target/egress/head_test.go
+++ b/internal/target/egress/head_test.go
@@ -1,17 +1,21 @@
 package egress
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 )
 
-// TestFoldedLines scans answers in pieces of all sizes.
-func TestFoldedLines(t *testing.T) {
+// TestHeads scans answers in pieces of all sizes.
+func TestHeads(t *testing.T) {
 	tests := map[string]struct {
-		text   string
-		folded bool
+		text    string
+		invalid bool
 	}{
+		"as many lines as there may be":   {"HTTP/1.1 200 OK\r\n" + strings.Repeat("A:\n", maxLines-2) + "\nbody\n", false},
+		"too many lines":                  {"HTTP/1.1 200 OK\r\n" + strings.Repeat("A:\n", maxLines-1) + "\n", true},
+		"too many interim answers":        {strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", maxLines/2) + "HTTP/1.1 200 OK\r\n", true},
 		"none":                            {"HTTP/1.1 200 OK\r\nA:  b\r\n\r\n body", false},
 		"line feeds only":                 {"HTTP/1.1 200 OK\nA: b\n\n body\n body", false},
 		"no field":                        {"HTTP/1.1 200 OK\r\n\r\n\tbody", false},
@@ -29,11 +33,11 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			for size := 1; size <= len(test.text); size++ {
-				h, folded := head{reading: true}, false
+				h, invalid := head{reading: true}, false
 				for at := 0; at < len(test.text); at += size {
-					folded = h.scan([]byte(test.text[at:min(at+size, len(test.text))])) != nil || folded
+					invalid = h.scan([]byte(test.text[at:min(at+size, len(test.text))])) != nil || invalid
 				}
-				assert.Equal(t, test.folded, folded, size)
+				assert.Equal(t, test.invalid, invalid, size)
 			}
 		})
 	}
