Shorten errors that quote a server's bytes

A target that sends bytes that are no answer had each of its attempts log up to 33 KB: the errors of net/http quote the line that they reject, and %q makes four bytes of one. 512 such lines may wait for a slow reader of the log, and an error could reach the caller with them.

The transport of internal/target/answer shortens the texts of errors to 256 bytes; the causes stay in the chain.

--- a/internal/gate/proxy/memory_test.go
+++ b/internal/gate/proxy/memory_test.go
@@ -1,12 +1,14 @@
 package proxy_test
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -76,3 +78,31 @@
 	}
 	require.Eventually(t, func() bool { return memory.Left() == 2<<20 }, longTimeout, time.Millisecond)
 }
+
+// TestLinesOfTheLogAreShort guards against log lines and errors that quote a target's bytes
+// without a bound.
+func TestLinesOfTheLogAreShort(t *testing.T) {
+	const bound = 2 << 10
+	tests := map[string]string{
+		"status line":  "HTTP/1.1 2" + strings.Repeat("x", 8<<10) + "\r\n\r\n",
+		"no HTTP":      strings.Repeat("x", 8<<10) + "\r\n\r\n",
+		"field":        "HTTP/1.1 200 OK\r\nId: r1\r\n" + strings.Repeat("\x01", 8<<10) + ": x\r\n\r\n",
+		"content type": "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + strings.Repeat("x", 8<<10) + "\r\n\r\n",
+	}
+	for name, text := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var lines bytes.Buffer
+			serve := raw(strings.ReplaceAll(text, "%", "%%") + "%.0s")
+			w := newFixture(t, []target{serve, serve}, func(o *proxy.Options) { o.Logger = hclog.New(&hclog.LoggerOptions{Output: &lines}) })
+			got := w.send(t, "/safe/x")
+			require.Equal(t, http.StatusBadGateway, got.status)
+			assert.Less(t, len(got.body), bound)
+			w.server.Close()
+			require.NotEmpty(t, lines.String())
+			for line := range strings.Lines(lines.String()) {
+				assert.Less(t, len(line), bound)
+			}
+		})
+	}
+}
--- a/internal/target/answer/answer.go
+++ b/internal/target/answer/answer.go
@@ -16,6 +16,8 @@
 	// maxHeadBytes limits the head of a response, interim ones before it included. A
 	// faulty server may send one without end on every connection to it.
 	maxHeadBytes = 16 << 10
+	// maxErrorBytes limits the text of an error.
+	maxErrorBytes = 256
 )
 
 // InvalidError means that a response is no valid answer. The request may have run.
@@ -27,11 +29,25 @@
 // Error implements error.
 func (e *InvalidError) Error() string { return "invalid answer: " + e.Reason }
 
+// shortError shortens the text of an error. Those of net/http quote the server's bytes, a
+// head at most, and end up in log lines.
+type shortError struct{ cause error }
+
+// Error implements error.
+func (e *shortError) Error() string {
+	text := e.cause.Error()
+	return strings.ToValidUTF8(text[:min(len(text), maxErrorBytes)], "")
+}
+
+// Unwrap returns the whole error.
+func (e *shortError) Unwrap() error { return e.cause }
+
 // Transport is an [http.RoundTripper] that returns only valid responses. See [New].
 type Transport struct{ *http.Transport }
 
 // New returns a transport that returns an [*InvalidError] in place of a response of
-// another one that is invalid. It limits the heads of that one's responses to 16 KiB.
+// another one that is invalid. It limits the heads of that one's responses to 16 KiB, and
+// the texts of its errors.
 //
 //	client := &http.Client{Transport: answer.New(&http.Transport{})}
 func New(transport *http.Transport) *Transport {
@@ -43,7 +59,7 @@
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	response, err := t.Transport.RoundTrip(request)
 	if err != nil {
-		return nil, err
+		return nil, &shortError{cause: err}
 	}
 	if err := check(response); err != nil {
 		_ = response.Body.Close()
