Limit the body of an engine's error to 64 KiB

An engine that answered requests with an error without end had the node of the embedded mode read and keep 16 MiB of each: errors had the limit of lists of the cache.

Evidence: TestErrorWithoutEnd read 16,777,259 bytes before; less than 256 KiB now.

--- a/internal/target/remote/remote.go
+++ b/internal/target/remote/remote.go
@@ -14,7 +14,12 @@
 	"github.com/cicadamill/cicadamill/internal/target/engine"
 )
 
-const maxResponseBytes = 16 << 20
+const (
+	// maxResponseBytes limits the body of an engine's response, which may list its cache.
+	maxResponseBytes = 16 << 20
+	// maxErrorBytes limits the body of an error.
+	maxErrorBytes = 64 << 10
+)
 
 // Client implements [engine.Client] for the engine at one address.
 type Client struct {
@@ -178,7 +183,7 @@
 			Message string      `json:"message"`
 		} `json:"error"`
 	}
-	_ = json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(&body)
+	_ = json.NewDecoder(io.LimitReader(response.Body, maxErrorBytes)).Decode(&body)
 	failure := c.failure(body.Error.Code, effect.Unknown{Reason: response.Status}, body.Error.Message)
 	if response.Header.Get("X-Not-Run") == "true" {
 		failure.Outcome = effect.NotRun{Reason: string(body.Error.Code)}
--- a/internal/target/remote/remote_test.go
+++ b/internal/target/remote/remote_test.go
@@ -1,10 +1,14 @@
 package remote_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -139,3 +143,32 @@
 		})
 	}
 }
+
+// TestErrorWithoutEnd has an engine send an error without end. The client must read little
+// of it: there may be one for each request.
+func TestErrorWithoutEnd(t *testing.T) {
+	const bound = 256 << 10
+	sent := make(chan int, 1)
+	transport := &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) {
+		client, server := net.Pipe()
+		go func() {
+			defer func() { _ = server.Close() }()
+			total := 0
+			if _, err := http.ReadRequest(bufio.NewReader(server)); err == nil {
+				total, err = io.WriteString(server, "HTTP/1.1 500 Error\r\n\r\n{\"error\":{\"message\":\"")
+				for n := 0; err == nil; total += n {
+					n, err = io.WriteString(server, strings.Repeat("x", 4<<10))
+				}
+			}
+			sent <- total
+		}()
+		return client, nil
+	}}
+	client := remote.New("engine:1", &http.Client{Transport: transport})
+	err := client.Complete(t.Context(), engine.Call{Attempt: "a"}, func(engine.Event) error { return nil })
+	var failure *engine.Error
+	require.ErrorAs(t, err, &failure)
+	assert.Equal(t, engine.Broken, failure.Code)
+	assert.IsType(t, effect.Unknown{}, failure.Outcome)
+	assert.Less(t, <-sent, bound)
+}
