Soak: targets send heads that are no answers, and reset uploads

The stand-in of a target can begin an answer before it reads a request and reset the connection, answer with invalid heads, and send a head of many fields without end. The proxies of the soak pass a reset on although a write to the target got it. Hosts are judged by the memory in their own settings.

--- a/internal/tool/soak/fleet_test.go
+++ b/internal/tool/soak/fleet_test.go
@@ -196,6 +196,8 @@
 	switch s.kind {
 	case longBodies, halfClose:
 		f.clientStep(s)
+	case resetUploads:
+		f.uploadStep(s, f.target(s.index))
 	case killHerd, leaveTogether, herdAndLeave, burstOfWork, changeInBurst:
 		f.grownStep(s)
 	case killHost, stopHost, pauseHost, reloadHost:
@@ -284,6 +286,7 @@
 	muteTarget: fake.NoResponse, mixUpTarget: fake.WrongResponse, truncateTarget: fake.TruncatedResponse, unframeTarget: fake.UnframedResponse,
 	resetUnframedTarget: fake.UnframedReset, cutEventTarget: fake.EndInEvent, cutUnframedTarget: fake.UnframedEndInEvent,
 	copyRefusals: fake.CopiedRefusal, endlessEvents: fake.EndlessEvent,
+	resetUploads: fake.EarlyReset, invalidHeads: fake.InvalidHead, endlessHeads: fake.EndlessHead,
 }
 
 func (f *fleet) targetStep(s step, t *target) {
--- a/internal/tool/soak/plan_test.go
+++ b/internal/tool/soak/plan_test.go
@@ -46,6 +46,10 @@
 	longBodies    stepKind = "a burst of bodies at the limit"
 	halfClose     stepKind = "clients close their sending side"
 
+	resetUploads stepKind = "a target resets uploads after a part of an answer"
+	invalidHeads stepKind = "a target sends invalid heads"
+	endlessHeads stepKind = "a target sends heads without end"
+
 	limitTarget stepKind = "a target names a limit"
 	pauseTarget stepKind = "a target asks for a pause"
 	leaveTarget stepKind = "a target says that it leaves and is replaced"
@@ -68,6 +72,10 @@
 // reviewKinds are the steps that an independent review played.
 var reviewKinds = []stepKind{copyRefusals, copyRefusals, endlessEvents, endlessEvents, longBodies, longBodies, halfClose, halfClose}
 
+// headKinds are the steps in which targets send heads that are no answers, or answer before
+// they have read a request.
+var headKinds = []stepKind{resetUploads, resetUploads, resetUploads, invalidHeads, invalidHeads, endlessHeads}
+
 // needKinds are the steps in which targets say what they need.
 var needKinds = []stepKind{limitTarget, limitTarget, limitTarget, pauseTarget, pauseTarget, leaveTarget, leaveTarget}
 
--- a/internal/tool/soak/proxy_test.go
+++ b/internal/tool/soak/proxy_test.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/cicadamill/cicadamill/internal/target/egress"
 )
 
 // mode is how a proxy treats its connections.
@@ -100,12 +102,21 @@
 
 // resetConn closes a connection with a TCP reset.
 func resetConn(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
+	switch c := c.(type) {
+	case *net.TCPConn:
+		_ = c.SetLinger(0)
+	case *serverConn:
+		_ = c.linger(0)
 	}
 	_ = c.Close()
 }
 
+// serverConn is a connection whose reads end with a reset also if a write got it.
+type serverConn struct {
+	net.Conn
+	linger func(seconds int) error
+}
+
 func (p *proxy) serve(listener net.Listener) {
 	for {
 		client, err := listener.Accept()
@@ -124,11 +135,12 @@
 		resetConn(client)
 		return
 	}
-	server, err := net.DialTimeout("tcp", p.upstream(), time.Second)
+	dialed, err := net.DialTimeout("tcp", p.upstream(), time.Second)
 	if err != nil {
 		resetConn(client)
 		return
 	}
+	server := &serverConn{Conn: egress.Wrap(dialed), linger: dialed.(*net.TCPConn).SetLinger}
 	pair := &connPair{client: client, server: server, silenced: map[net.Conn]bool{}}
 	p.mu.Lock()
 	p.pairs[pair] = struct{}{}
--- a/internal/tool/soak/review_test.go
+++ b/internal/tool/soak/review_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -116,7 +117,7 @@
 		case <-ticker.C:
 		}
 		for _, p := range f.hosts {
-			if held := p.anonymousBytes(); held > fake.MemoryBytes && !over[p.settings.Name] {
+			if held := p.anonymousBytes(); held > cmp.Or(p.settings.MemoryMB<<20, fake.MemoryBytes) && !over[p.settings.Name] {
 				over[p.settings.Name] = true
 				f.checker.addFailure("%s holds %d MB, over its limit", p.settings.Name, held>>20)
 			}
