--- a/internal/target/remote/relay.go
+++ b/internal/target/remote/relay.go
@@ -17,7 +17,8 @@
 	drainTimeout    = 100 * time.Millisecond
 	// maxMessageBytes is the maximum length of an engine's error message that is kept.
 	maxMessageBytes = 256
-	maxLineBytes    = 1 << 20
+	// maxLineBytes limits a line, which holds one chunk of an answer.
+	maxLineBytes = 64 << 10
 )
 
 var (
--- a/internal/target/remote/remote_test.go
+++ b/internal/target/remote/remote_test.go
@@ -144,31 +144,46 @@
 	}
 }
 
-// TestErrorWithoutEnd has an engine send an error without end. The client must read little
-// of it: there may be one for each request.
-func TestErrorWithoutEnd(t *testing.T) {
+// TestAnswersWithoutEnd has an engine send an error or a line of a stream without end. The
+// client must read little of it: there may be one for each request.
+func TestAnswersWithoutEnd(t *testing.T) {
 	const bound = 256 << 10
-	sent := make(chan int, 1)
-	transport := &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) {
-		client, server := net.Pipe()
-		go func() {
-			defer func() { _ = server.Close() }()
-			total := 0
-			if _, err := http.ReadRequest(bufio.NewReader(server)); err == nil {
-				total, err = io.WriteString(server, "HTTP/1.1 500 Error\r\n\r\n{\"error\":{\"message\":\"")
-				for n := 0; err == nil; total += n {
-					n, err = io.WriteString(server, strings.Repeat("x", 4<<10))
-				}
-			}
-			sent <- total
-		}()
-		return client, nil
-	}}
-	client := remote.New("engine:1", &http.Client{Transport: transport})
-	err := client.Complete(t.Context(), engine.Call{Attempt: "a"}, func(engine.Event) error { return nil })
-	var failure *engine.Error
-	require.ErrorAs(t, err, &failure)
-	assert.Equal(t, engine.Broken, failure.Code)
-	assert.IsType(t, effect.Unknown{}, failure.Outcome)
-	assert.Less(t, <-sent, bound)
+	starts := map[string]string{
+		"error": "HTTP/1.1 500 Error\r\n\r\n{\"error\":{\"message\":\"",
+		"line":  "HTTP/1.1 200 OK\r\n\r\nid: 0\ndata: {\"choices\":[{\"delta\":\"",
+	}
+	for name, start := range starts {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			sent := make(chan int, 1)
+			transport := &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) {
+				client, server := net.Pipe()
+				go func() { sent <- flood(server, start) }()
+				return client, nil
+			}}
+			client := remote.New("engine:1", &http.Client{Transport: transport})
+			err := client.Complete(t.Context(), engine.Call{Attempt: "a"}, func(engine.Event) error { return nil })
+			var failure *engine.Error
+			require.ErrorAs(t, err, &failure)
+			assert.Equal(t, engine.Broken, failure.Code)
+			assert.IsType(t, effect.Unknown{}, failure.Outcome)
+			assert.Less(t, <-sent, bound)
+		})
+	}
+}
+
+// flood answers a request with a text and further bytes until the caller closes, and
+// returns the number of bytes that the caller has read.
+func flood(conn net.Conn, start string) int {
+	defer func() { _ = conn.Close() }()
+	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+		return 0
+	}
+	sent, err := io.WriteString(conn, start)
+	for err == nil {
+		var n int
+		n, err = io.WriteString(conn, strings.Repeat("x", 4<<10))
+		sent += n
+	}
+	return sent
 }
