--- a/internal/target/answer/answer.go
+++ b/internal/target/answer/answer.go
@@ -76,7 +76,7 @@
 		return &InvalidError{Reason: fmt.Sprintf("status %.20q", response.Status)}
 	}
 	for name := range response.Header {
-		// The recipient might take "Content-Length : 2" for the length or for another field.
+		// To some recipients "Content-Length : 2" is the length, to others another field.
 		if strings.Contains(name, " ") {
 			return &InvalidError{Reason: fmt.Sprintf("field name %.40q", name)}
 		}
