Shorten errors of a body that quote a server's bytes

Evidence: the case of a trailer that is none in TestLinesOfTheLogAreShort had log lines of 12,684 bytes; none above 2 KiB now. That of a chunk passed before.

--- a/internal/gate/proxy/memory_test.go
+++ b/internal/gate/proxy/memory_test.go
@@ -84,10 +84,12 @@
 func TestLinesOfTheLogAreShort(t *testing.T) {
 	const bound = 2 << 10
 	tests := map[string]string{
-		"status line":  "HTTP/1.1 2" + strings.Repeat("x", 8<<10) + "\r\n\r\n",
-		"no HTTP":      strings.Repeat("x", 8<<10) + "\r\n\r\n",
-		"field":        "HTTP/1.1 200 OK\r\nId: r1\r\n" + strings.Repeat("\x01", 8<<10) + ": x\r\n\r\n",
-		"content type": "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + strings.Repeat("x", 8<<10) + "\r\n\r\n",
+		"status line": "HTTP/1.1 2" + strings.Repeat("x", 8<<10) + "\r\n\r\n",
+		"no HTTP":     strings.Repeat("x", 8<<10) + "\r\n\r\n",
+		"field":       "HTTP/1.1 200 OK\r\nId: r1\r\n" + strings.Repeat("\x01", 8<<10) + ": x\r\n\r\n",
+		"coding":      "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + strings.Repeat("x", 8<<10) + "\r\n\r\n",
+		"trailer":     sealed + "Transfer-Encoding: chunked\r\n\r\n0\r\n" + strings.Repeat("\x01", 3<<10) + ": x\r\n\r\n",
+		"chunk":       sealed + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("\x01", 3<<10) + "\r\n",
 	}
 	for name, text := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/target/answer/answer.go
+++ b/internal/target/answer/answer.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 )
@@ -29,6 +30,18 @@
 // Error implements error.
 func (e *InvalidError) Error() string { return "invalid answer: " + e.Reason }
 
+// body is the body of a response. Its errors are short.
+type body struct{ io.ReadCloser }
+
+// Read implements [io.Reader].
+func (b body) Read(data []byte) (int, error) {
+	n, err := b.ReadCloser.Read(data)
+	if err != nil && err != io.EOF {
+		err = &shortError{cause: err}
+	}
+	return n, err
+}
+
 // shortError shortens the text of an error. Those of net/http quote the server's bytes, a
 // head at most, and end up in log lines.
 type shortError struct{ cause error }
@@ -65,6 +78,7 @@
 		_ = response.Body.Close()
 		return nil, err
 	}
+	response.Body = body{ReadCloser: response.Body}
 	return response, nil
 }
 
