Soak: reset a connection that has lost data at its end

Trace: target t-02 sent answers without a length until 6.73 s; from 6.80 s its connections were silenced, which discarded the last events of the streams in progress, and the proxy then passed their end on as a proper one. TCP can't do that. A connection that has lost data is now reset instead.

--- a/internal/tool/soak/proxy_test.go
+++ b/internal/tool/soak/proxy_test.go
@@ -155,14 +155,14 @@
 }
 
 // relay copies data in one direction until a read or write fails, and then closes
-// both ends. It passes a reset on as one: an answer without a length must not look
-// complete.
+// both ends. It passes a reset on as one, and resets a connection that has lost data: an
+// answer without a length must not look complete.
 func (p *proxy) relay(pair *connPair, from, to net.Conn) {
 	defer func() { _ = to.Close(); _ = from.Close() }()
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buffer)
-		if errors.Is(err, syscall.ECONNRESET) {
+		if err != nil && (errors.Is(err, syscall.ECONNRESET) || p.lostData(pair, from)) {
 			resetConn(to)
 		}
 		if err != nil {
@@ -177,6 +177,12 @@
 	}
 }
 
+func (p *proxy) lostData(pair *connPair, from net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return pair.silenced[from]
+}
+
 func (p *proxy) discards(pair *connPair, from net.Conn) bool {
 	p.mu.Lock()
 	m := p.mode
