--- a/internal/gate/proxy/head_test.go
+++ b/internal/gate/proxy/head_test.go
@@ -60,7 +60,7 @@
 		"folded line of an interim answer": invalidHead("HTTP/1.1 200", "HTTP/1.1 100 Continue\r\nA: b\r\n C: d\r\n\r\nHTTP/1.1 200"),
 		"folded line after an interim one": invalidHead("HTTP/1.1 200", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200", "Seal: s", "Seal: s\r\n A: b"),
 		"folded blank line":                invalidHead("Seal: s", "Seal: s\r\n "),
-		"more fields than one reads":       invalidHead("Seal: s", "Seal: s\r\n"+strings.Repeat("A:\n", 1000)+"B: c"),
+		"too many fields":                  invalidHead("Seal: s", "Seal: s\r\n"+strings.Repeat("A:\n", 1000)+"B: c"),
 		"folded first line":                invalidHead("Id: r1", " Id: r1"),
 	}
 	for name, head := range heads {
