Name the cache scope of shared parts after the isolated workspaces

Cause: the scope of the parts that workspaces share was "w" and the version of the weights, whatever the configuration. It stayed the same when a workspace left those that share. A request also kept the isolation of its workspace from the configuration that admitted it, so that it waited, or went on at another engine, with the scope from before. A workspace without API keys was not known at all.

Change: the shared scope includes a hash of the names of the isolated workspaces. No request of these is ever sent with it, so it can't hold anything of theirs, whatever versions a host has seen. A request names its workspace; the scope follows from the configuration in force when a target is chosen.

A case of TestCachedPartsAreNotReusedAcross set the scope of a request itself; it names the workspace now, and one that becomes isolated is a case of its own.

--- a/internal/gate/host/state.go
+++ b/internal/gate/host/state.go
@@ -115,11 +115,12 @@
 	if !n.Plan.Replaces(h.plan.Load()) {
 		return
 	}
-	h.plan.Store(n.Plan)
 	h.mu.Lock()
 	h.picker.SetPlan(n.Plan)
 	h.credit.SetLimits(time.Now(), creditLimits(n.Plan, h.bounds.Load().Quota))
 	h.mu.Unlock()
+	// Requests that the new plan admits find its cache scopes in the picker.
+	h.plan.Store(n.Plan)
 	l := n.Plan.Limits
 	if h.server != nil {
 		h.server.SetLimits(local.Limits{
--- a/internal/gate/pick/choose.go
+++ b/internal/gate/pick/choose.go
@@ -297,7 +297,7 @@
 func (s *Picker) partsFor(partsByVersion map[uint64][]part, r Request, version uint64) []part {
 	parts, ok := partsByVersion[version]
 	if !ok {
-		parts = partKeys(r.Prompt.Model, scopeOf(version, r.Scope), r.Prompt.Parts)
+		parts = partKeys(r.Prompt.Model, s.scopeOf(version, r.Workspace), r.Prompt.Parts)
 		partsByVersion[version] = parts
 	}
 	return parts
@@ -365,7 +365,7 @@
 	awayCost, away := s.awayCost(t, r, cached, holders)
 	cost += awayCost
 	return candidate{cost: cost, overloaded: overloaded, queueTime: queueTime, dispatch: Dispatch{
-		away: away, Target: t.Target, Version: version, Scope: scopeOf(version, r.Scope), FetchFrom: from, SaveTo: s.saveTo(parts, shared, cached, fetched),
+		away: away, Target: t.Target, Version: version, Scope: s.scopeOf(version, r.Workspace), FetchFrom: from, SaveTo: s.saveTo(parts, shared, cached, fetched),
 		Shared: sharedTokens, Cached: cached, Fetched: fetched, Expected: expected, Ahead: ahead, CopyTime: fetchTime, PrefillTime: estimate.Prefill(miss), Base: estimate.Base, Load: load, Age: age, Slowness: estimate.Speed,
 	}}
 }
--- a/internal/gate/pick/message.go
+++ b/internal/gate/pick/message.go
@@ -14,9 +14,9 @@
 	Service string
 	// Prompt describes the work of a model request.
 	Prompt call.Prompt
-	// Scope separates the cached parts of isolated workspaces; empty when the parts
-	// may be shared.
-	Scope string
+	// Workspace is the name of the workspace; empty for none. The configuration in force
+	// when a target is chosen decides with whom it shares cached parts.
+	Workspace string
 	// Idempotent is true when the request may run more than once.
 	Idempotent bool
 	// Excluded are the IDs of targets that have failed this request.
--- a/internal/gate/pick/pick.go
+++ b/internal/gate/pick/pick.go
@@ -365,14 +365,14 @@
 	return load.Running
 }
 
-// scopeOf returns the cache namespace for the parts of a request. It includes the
+// scopeOf returns the namespace of a workspace's parts in a cache. It includes the
 // version, so that parts computed with other weights are never reused.
-func scopeOf(version uint64, scope string) string {
-	text := "w" + strconv.FormatUint(version, 10)
-	if scope != "" {
-		text += "/" + scope
+func (s *Picker) scopeOf(version uint64, workspace string) string {
+	scope := "w" + strconv.FormatUint(version, 10)
+	if s.plan != nil {
+		scope += s.plan.CacheScope(workspace)
 	}
-	return text
+	return scope
 }
 
 // partKey returns the cache key of a part.
--- a/internal/gate/pick/pick_test.go
+++ b/internal/gate/pick/pick_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -45,6 +46,18 @@
 	return p, targets
 }
 
+// workspaces are the names of the workspaces in plans with isolated ones.
+var workspaces = []string{"isolated", "members", "sellers"}
+
+// isolate applies a configuration in which some workspaces are isolated.
+func isolate(s *pick.Picker, isolated ...string) {
+	p, _ := engines(0)
+	for _, name := range workspaces {
+		p.Workspaces = append(p.Workspaces, plan.Workspace{Name: name, Isolated: slices.Contains(isolated, name)})
+	}
+	s.SetPlan(plan.New(*p, nil, nil))
+}
+
 func newState(n int) *pick.Picker {
 	p, targets := engines(n)
 	s := pick.New(pick.Options{DataCentre: "east", Seed: 1})
@@ -230,7 +243,8 @@
 
 func TestCachedPartsAreNotReusedAcross(t *testing.T) {
 	tests := map[string]func(s *pick.Picker, r *pick.Request){
-		"an isolated workspace": func(_ *pick.Picker, r *pick.Request) { r.Scope = "walled" },
+		"an isolated workspace":   func(_ *pick.Picker, r *pick.Request) { r.Workspace = "isolated" },
+		"a workspace's isolation": func(s *pick.Picker, _ *pick.Request) { isolate(s, "isolated", "members") },
 		"newer weights": func(s *pick.Picker, _ *pick.Request) {
 			s.RecordVersion("e0", pick.ObservedVersion{Born: 1, Model: model, Version: 2})
 		},
@@ -244,9 +258,11 @@
 	for name, change := range tests {
 		t.Run(name, func(t *testing.T) {
 			s := newState(1)
-			before := mustDispatch(t, s, start, longRequest("sheet"))
-			serve(s, start, longRequest("sheet"), before)
+			isolate(s, "isolated")
 			r := longRequest("sheet")
+			r.Workspace = "sellers"
+			before := mustDispatch(t, s, start, r)
+			serve(s, start, r, before)
 			change(s, &r)
 			after := mustDispatch(t, s, start.Add(time.Second), r)
 			assert.Zero(t, after.Cached)
--- a/internal/gate/plan/draft.go
+++ b/internal/gate/plan/draft.go
@@ -63,6 +63,7 @@
 	}
 	keys := map[string]Workspace{}
 	for _, w := range d.Workspaces {
+		p.Workspaces = append(p.Workspaces, w.Workspace)
 		for _, key := range w.Keys {
 			keys[key] = w.Workspace
 		}
--- a/internal/gate/plan/plan.go
+++ b/internal/gate/plan/plan.go
@@ -145,10 +145,13 @@
 	// HasWorkspaces is true when requests need an API key, except on anonymous
 	// routes.
 	HasWorkspaces bool
+	// Workspaces are the workspaces. Those of the API keys given to [New] may be left out.
+	Workspaces []Workspace
 
 	routes map[string][]Route
 	keys   map[string]Workspace
 	limits map[string]Limit
+	scopes scopes
 }
 
 // New returns a copy of p with the given routes and the workspaces by API key.
@@ -167,6 +170,7 @@
 			p.limits[w.Name] = w.Limit
 		}
 	}
+	p.scopes = newScopes(slices.AppendSeq(slices.Clone(p.Workspaces), maps.Values(keys)))
 	return &p
 }
 
--- a/internal/gate/proxy/proxy.go
+++ b/internal/gate/proxy/proxy.go
@@ -239,14 +239,10 @@
 }
 
 func (j *job) request(now time.Time) pick.Request {
-	r := pick.Request{
-		Service: j.service.Name, Prompt: j.call.Prompt, Idempotent: j.route.Idempotent(), Excluded: j.excluded,
+	return pick.Request{
+		Service: j.service.Name, Workspace: j.workspace.Name, Prompt: j.call.Prompt, Idempotent: j.route.Idempotent(), Excluded: j.excluded,
 		Objective: j.route.Objective, LongestPause: j.route.LongestPause, ObjectiveLeft: j.arrived.Add(j.route.Objective).Sub(now), ClientTimeLeft: j.deadline.Sub(now), Rank: j.priority,
 	}
-	if j.workspace.Isolated {
-		r.Scope = j.workspace.Name
-	}
-	return r
 }
 
 // prepare reads a request, authenticates it and resolves its route and service.
--- a/internal/gate/proxy/proxy_test.go
+++ b/internal/gate/proxy/proxy_test.go
@@ -57,6 +57,7 @@
 	header := c.Header.Clone()
 	header.Set("Instance", send.Instance)
 	header.Set("Workspace", send.Workspace)
+	header.Set("Scope", send.Scope)
 	header.Set("Left", strconv.FormatInt(send.TimeLeft.Milliseconds(), 10))
 	if send.ResumeAfter != "" {
 		header.Set("Resume", send.ResumeAfter)
