Choose again for requests whose cache scope changes while they wait to be sent

Seen by reading, then in a test: a request that had a target and waited for one of its connections was sent with the scope from before a workspace was isolated, and used its parts.

Cause: the scope is chosen with the target. The check before the first byte asked only whether the target still takes requests.

Change: the check compares the scope with that of the configuration in force, and a new configuration ends such waits at once. A target is chosen again; the same one is allowed, as it refused nothing.

--- a/internal/gate/host/state.go
+++ b/internal/gate/host/state.go
@@ -121,6 +121,7 @@
 	h.mu.Unlock()
 	// Requests that the new plan admits find its cache scopes in the picker.
 	h.plan.Store(n.Plan)
+	h.proxy.CancelUnsent()
 	l := n.Plan.Limits
 	if h.server != nil {
 		h.server.SetLimits(local.Limits{
--- a/internal/gate/pick/pick.go
+++ b/internal/gate/pick/pick.go
@@ -375,6 +375,12 @@
 	return scope
 }
 
+// ScopeInForce reports whether a request of a workspace that was to be sent as d would
+// still get the same scope.
+func (s *Picker) ScopeInForce(d Dispatch, workspace string) bool {
+	return d.Scope == "" || d.Scope == s.scopeOf(d.Version, workspace)
+}
+
 // partKey returns the cache key of a part.
 func partKey(model, scope, id string) uint64 {
 	return xxh3.HashStringSeed(id, xxh3.HashString(model+"\x00"+scope))
--- a/internal/gate/proxy/attempt.go
+++ b/internal/gate/proxy/attempt.go
@@ -94,7 +94,10 @@
 				return h.endBroken(client, w, j, r)
 			}
 		}
-		j.excluded = append(j.excluded, d.Target.ID)
+		// A request that was held back for a reason of this host's may go there again.
+		if !held || !h.takesRequests(d.Target) {
+			j.excluded = append(j.excluded, d.Target.ID)
+		}
 		if j.sent >= maxSends || !held && j.successor == nil && !h.takeRetry(j.service.Name) {
 			return h.conclude(client, w, j, h.exhausted(j, reason))
 		}
--- a/internal/gate/proxy/isolation_test.go
+++ b/internal/gate/proxy/isolation_test.go
@@ -236,8 +236,10 @@
 		slots, busy    int
 		maker, waiting string
 	}{
-		"others wait for a target":                  {1, 1, "members", "sellers"},
-		"the isolated workspace waits for a target": {1, 1, "sellers", "members"},
+		"others wait for a target":                      {1, 1, "members", "sellers"},
+		"others wait for a connection":                  {8, 2, "members", "sellers"},
+		"the isolated workspace waits for a target":     {1, 1, "sellers", "members"},
+		"the isolated workspace waits for a connection": {8, 2, "sellers", "members"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
