Cancel requests that wait at an engine with an outdated cache scope

Seen by reading, then in a test: a request that waits at a slow or frozen engine while a workspace is isolated begins with the scope from before, however long after the change.

Cause: nothing looked at the scope of requests that had been sent and not begun.

Change: an attempt that has waited for a second and whose scope is no longer that of its workspace is cancelled, as for weights that may no longer answer. If the request may run again, it goes to another engine with the scope in force. A response that isn't a stream and may run only once is left alone: without headers it may have begun.

Evidence: three of the five cases of TestRequestsAtEnginesFollowIsolation fail without the cancellation, the other two (a stream that has begun; a workspace whose scope didn't change) hold; the new case of TestMaintenanceEndsWaitingRequests fails if the host doesn't call it.

--- a/internal/gate/host/replaced_test.go
+++ b/internal/gate/host/replaced_test.go
@@ -75,31 +75,44 @@
 func (modelCodec) Encode(call.Call, call.Forward) http.Header { return http.Header{} }
 
 // TestMaintenanceEndsWaitingRequests guards against requests that wait at a mute engine
-// for longer than its weights may answer because nobody cancels them.
+// for longer than its weights may answer, or than their cache scope is in force, because
+// nobody cancels them.
 func TestMaintenanceEndsWaitingRequests(t *testing.T) {
-	engine := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
-	defer engine.Close()
-	s := &fakeStore{began: time.Now(), rows: map[string][]byte{}}
-	h := New(Settings{Name: "a", Bounds: Bounds{NewWeights: 12 * time.Second, Lease: 3 * time.Second}}, Platform{
-		Codec: modelCodec{}, Source: s, Table: fakeTable{s}, Engines: noEngines{}, Now: time.Now, OwnTable: "own", OperatorTable: "op", TargetTable: "servers",
-		DecodeTarget: func(_ time.Time, row feed.Row) roster.Change {
-			return roster.Change{ID: row.Key, Version: row.Version, Target: &roster.Target{ID: row.Key, Service: "lm", Address: engine.Listener.Addr().String(), Slots: 8, Versions: map[string]uint64{"m": 1}}}
+	configuration := func(version uint64, workspaces ...plan.Workspace) PlanChange {
+		return PlanChange{Plan: plan.New(plan.Plan{Version: version, Services: map[string]plan.Service{"lm": {Name: "lm", MaxConns: 8}}, Workspaces: workspaces}, []plan.Route{{
+			Name: "r", Host: "a.example", Prefix: "/x/", Kind: plan.Stream, Splits: []plan.Split{{Service: "lm", Weight: 1}}, Objective: 10 * time.Second, Attempts: 1,
+		}}, nil)}
+	}
+	tests := map[string]func(h *Host){
+		"newer weights are named": func(h *Host) {
+			h.announceWeights("m", pick.AnnouncedVersion{Version: 2, Age: 11500 * time.Millisecond})
 		},
-	}, hclog.NewNullLogger(), spool.New(nil))
-	h.applyPlan(PlanChange{Plan: plan.New(plan.Plan{Version: 1, Services: map[string]plan.Service{"lm": {Name: "lm", MaxConns: 8}}}, []plan.Route{{
-		Name: "r", Host: "a.example", Prefix: "/x/", Kind: plan.Stream, Splits: []plan.Split{{Service: "lm", Weight: 1}}, Objective: 10 * time.Second, Attempts: 1,
-	}}, nil)})
-	h.targetReset(feed.Page{Version: 1, Rows: []feed.Row{{Key: "e", Version: 1}}})
-	h.announceWeights("m", pick.AnnouncedVersion{Version: 1, Age: time.Hour})
-	defer startMaintenance(t, h)()
-	named := time.AfterFunc(300*time.Millisecond, func() {
-		h.announceWeights("m", pick.AnnouncedVersion{Version: 2, Age: 11500 * time.Millisecond})
-	})
-	defer named.Stop()
-	began := time.Now()
-	got := httptest.NewRecorder()
-	h.proxy.ServeHTTP(got, httptest.NewRequest(http.MethodPost, "http://a.example/x/y", http.NoBody))
-	assert.Equal(t, http.StatusBadGateway, got.Code, got.Body.String())
-	assert.Greater(t, time.Since(began), 500*time.Millisecond, "it may begin until 200 ms before the bound")
-	assert.Less(t, time.Since(began), 4*time.Second)
+		"a workspace is isolated": func(h *Host) { h.applyPlan(configuration(2, plan.Workspace{Name: "w", Isolated: true})) },
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			engine := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+			defer engine.Close()
+			s := &fakeStore{began: time.Now(), rows: map[string][]byte{}}
+			h := New(Settings{Name: "a", Bounds: Bounds{NewWeights: 12 * time.Second, Lease: 3 * time.Second}}, Platform{
+				Codec: modelCodec{}, Source: s, Table: fakeTable{s}, Engines: noEngines{}, Now: time.Now, OwnTable: "own", OperatorTable: "op", TargetTable: "servers",
+				DecodeTarget: func(_ time.Time, row feed.Row) roster.Change {
+					return roster.Change{ID: row.Key, Version: row.Version, Target: &roster.Target{ID: row.Key, Service: "lm", Address: engine.Listener.Addr().String(), Slots: 8, Versions: map[string]uint64{"m": 1}}}
+				},
+			}, hclog.NewNullLogger(), spool.New(nil))
+			h.applyPlan(configuration(1))
+			h.targetReset(feed.Page{Version: 1, Rows: []feed.Row{{Key: "e", Version: 1}}})
+			h.announceWeights("m", pick.AnnouncedVersion{Version: 1, Age: time.Hour})
+			defer startMaintenance(t, h)()
+			changed := time.AfterFunc(300*time.Millisecond, func() { change(h) })
+			defer changed.Stop()
+			began := time.Now()
+			got := httptest.NewRecorder()
+			h.proxy.ServeHTTP(got, httptest.NewRequest(http.MethodPost, "http://a.example/x/y", http.NoBody))
+			assert.Equal(t, http.StatusBadGateway, got.Code, got.Body.String())
+			assert.Greater(t, time.Since(began), 500*time.Millisecond, "it may begin until 200 ms before the bound")
+			assert.Less(t, time.Since(began), 4*time.Second)
+		})
+	}
 }
--- a/internal/gate/host/state.go
+++ b/internal/gate/host/state.go
@@ -204,6 +204,7 @@
 		h.mu.Unlock()
 		h.proxy.CancelReplaced(now)
 		h.proxy.CancelDeadly(now)
+		h.proxy.CancelRescoped(now)
 		h.logMaxReplacedAge(maxAge)
 		if expired {
 			h.logger.Info("removed targets with expired entries")
--- a/internal/gate/proxy/isolation_test.go
+++ b/internal/gate/proxy/isolation_test.go
@@ -288,3 +288,50 @@
 		})
 	}
 }
+
+// TestRequestsAtEnginesFollowIsolation guards against requests that wait at a slow engine
+// while a workspace is isolated, and begin long after that with the scope from before.
+func TestRequestsAtEnginesFollowIsolation(t *testing.T) {
+	tests := map[string]struct {
+		path, workspace string
+		target          target
+		// status is the client's, arrivals the number of requests to targets.
+		status, arrivals int
+	}{
+		"a stream that may be resumed":         {"/resume/x", "sellers", first(hanging, events(3, 0)), 200, 2},
+		"one of the isolated workspace":        {"/resume/x", "members", first(hanging, events(3, 0)), 200, 2},
+		"a stream that may run once":           {"/stream/x", "sellers", hanging, 502, 1},
+		"a stream that has begun":              {"/stream/x", "sellers", slowEvents, 200, 1},
+		"a workspace that was isolated before": {"/stream/x", "staff", muteAtFirst, 200, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := isolatingPlan(1, []string{"staff"}, nil)
+			u := &uses{isolated: []string{"staff"}, makers: map[string][]string{"w0" + p.CacheScope("members"): {"members", "sellers"}}}
+			h := newWalledHost(t, u, p, test.target, test.target)
+			h.maintain(t)
+			began := time.Now()
+			h.askAside(t, test.workspace, test.path)
+			require.Eventually(t, func() bool { return h.arrivals.Load() == 1 }, longTimeout, time.Millisecond)
+			h.isolate("staff", "members")
+			got := <-h.replies
+			require.NoError(t, got.err)
+			assert.Equal(t, test.status, got.status)
+			assert.Equal(t, test.arrivals, int(h.arrivals.Load()))
+			assert.Empty(t, u.forbidden)
+			assert.Greater(t, time.Since(began), time.Second, "the engine has a while to begin")
+			assert.Less(t, time.Since(began), 4*time.Second)
+		})
+	}
+}
+
+// muteAtFirst sends its headers with its first event, after the time in which a request
+// may wait with another scope.
+func muteAtFirst(w http.ResponseWriter, r *http.Request, arrival int) {
+	select {
+	case <-time.After(1500 * time.Millisecond):
+		events(1, 0)(w, r, arrival)
+	case <-r.Context().Done():
+	}
+}
--- a/internal/gate/proxy/phase.go
+++ b/internal/gate/proxy/phase.go
@@ -13,6 +13,8 @@
 	deadlyRequest
 	// silentTarget: the headers took too long.
 	silentTarget
+	// changedScope: the cache scope of the workspace has changed.
+	changedScope
 )
 
 // String returns the cause as it is logged.
@@ -24,6 +26,8 @@
 		return "not begun before requests like it were refused"
 	case silentTarget:
 		return "no headers in time"
+	case changedScope:
+		return "not begun before the cache scope changed"
 	}
 	return ""
 }
--- a/internal/gate/proxy/replaced_test.go
+++ b/internal/gate/proxy/replaced_test.go
@@ -16,13 +16,14 @@
 // maintainInterval is that of a host's maintenance.
 const maintainInterval = 50 * time.Millisecond
 
-// maintain lets the handler cancel attempts at replaced weights until the test ends.
+// maintain lets the handler cancel attempts that may no longer begin until the test ends.
 func (w *fixture) maintain(t *testing.T) {
 	t.Helper()
 	go func(ctx context.Context) {
 		for ctx.Err() == nil {
 			time.Sleep(maintainInterval)
 			w.handler.CancelReplaced(time.Now())
+			w.handler.CancelRescoped(time.Now())
 		}
 	}(t.Context())
 }
--- a/internal/gate/proxy/unbegun.go
+++ b/internal/gate/proxy/unbegun.go
@@ -7,6 +7,10 @@
 	"time"
 )
 
+// maxScopeWait is how long a request may wait at its target with a cache scope that its
+// workspace no longer has.
+const maxScopeWait = time.Second
+
 // attempts is a set of attempts in progress.
 type attempts struct {
 	mu  sync.Mutex
@@ -80,3 +84,14 @@
 	}
 	h.unbegun.cancel(deadlyRequest, func(s *attempt) bool { return s.job.trial || !h.options.Deadly.Refused(now, s.job.features) })
 }
+
+// CancelRescoped cancels the attempts that have waited for [maxScopeWait] and would begin
+// with a cache scope that their workspace no longer has. Its caller calls it at short
+// intervals.
+func (h *Handler) CancelRescoped(now time.Time) {
+	for _, s := range h.unbegun.all() {
+		if now.Sub(s.began) >= maxScopeWait && !h.scopeInForce(s) {
+			s.cancelWaiting(changedScope)
+		}
+	}
+}
