--- a/internal/tool/soak/check_test.go
+++ b/internal/tool/soak/check_test.go
@@ -41,7 +41,10 @@
 type configChange struct {
 	kind      stepKind
 	path, key string
-	at        time.Time
+	// isolated are the isolated workspaces from then on.
+	isolated map[string]bool
+	// began is when the store got the change, at when it acknowledged it.
+	began, at time.Time
 }
 
 type span struct{ from, to time.Time }
@@ -172,7 +175,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	found := slices.Clone(c.failures)
-	for _, check := range []func() []string{c.checkAnswers, c.checkDraining, c.checkConfigApplied, c.checkConfigOrder, c.checkOrders, c.checkRetries, c.checkStops, c.checkCuts, c.checkParts, c.checkLimits, c.checkWorkspaceLimits, c.checkSaidLeaving, c.checkPauses} {
+	for _, check := range []func() []string{c.checkAnswers, c.checkDraining, c.checkConfigApplied, c.checkConfigOrder, c.checkOrders, c.checkRetries, c.checkStops, c.checkCuts, c.checkParts, c.checkLimits, c.checkWorkspaceLimits, c.checkSaidLeaving, c.checkPauses, c.checkIsolation} {
 		found = append(found, check()...)
 	}
 	return found
--- a/internal/tool/soak/fleet_test.go
+++ b/internal/tool/soak/fleet_test.go
@@ -218,6 +218,8 @@
 		f.inject(s.duration, []*process{p}, func() { p.store.setMode(dropReplies) }, func() { p.store.setMode(forward) })
 	case addRoute, dropRoute, revokeKey, changeWeights:
 		f.configStep(s)
+	case isolate:
+		f.isolateStep(s)
 	default:
 		f.targetStep(s, f.target(s.index))
 	}
--- a/internal/tool/soak/plan_test.go
+++ b/internal/tool/soak/plan_test.go
@@ -79,6 +79,9 @@
 // needKinds are the steps in which targets say what they need.
 var needKinds = []stepKind{limitTarget, limitTarget, limitTarget, pauseTarget, pauseTarget, leaveTarget, leaveTarget}
 
+// isolate isolates a workspace, or ends its isolation.
+const isolate stepKind = "a workspace's isolation changes"
+
 // restoreStore brings the store back from a copy. The plans of older seeds do not draw it.
 const restoreStore stepKind = "the store comes back from a copy"
 
