Log the scope in which the parts of a request are cached

Nothing told with whom a request shared cached parts: whether hosts had not applied the isolation of a workspace or had sent its parts' scope to others couldn't be told apart. The line of each attempt has its scope, that of a new configuration the one that workspaces share.

--- a/internal/gate/host/state.go
+++ b/internal/gate/host/state.go
@@ -129,7 +129,7 @@
 			IdleMillis: int(l.IdleTimeout.Milliseconds()),
 		})
 	}
-	h.logger.Info("configuration in force", "config", n.Plan.Version, "services", len(n.Plan.Services))
+	h.logger.Info("configuration in force", "config", n.Plan.Version, "services", len(n.Plan.Services), "sharedScope", n.Plan.CacheScope(""))
 	h.refreshReady()
 }
 
--- a/internal/gate/proxy/log.go
+++ b/internal/gate/proxy/log.go
@@ -24,7 +24,7 @@
 		h.logBroken(s)
 	}
 	h.options.Logger.Info("sent", "request", s.job.call.ID, "route", s.job.route.Name, "workspace", s.job.workspace.Name,
-		"target", d.Target.ID, "weights", d.Version, "replacedMs", d.ReplacedFor.Milliseconds(), "shared", d.Shared, "cached", d.Cached, "fetched", d.Fetched, "from", d.FetchFrom,
+		"target", d.Target.ID, "weights", d.Version, "scope", d.Scope, "replacedMs", d.ReplacedFor.Milliseconds(), "shared", d.Shared, "cached", d.Cached, "fetched", d.Fetched, "from", d.FetchFrom,
 		"running", d.Load.Running, "prefill", d.Load.Prefill, "ageMs", d.Age.Milliseconds(), "slowness", d.Slowness, "expectedMs", d.Expected.Milliseconds(),
 		"config", s.job.plan.Version, "sending", s.job.sent, "lastEvent", s.job.stream.last,
 		"firstMs", s.first.Milliseconds(), "pauseMs", s.pause.Milliseconds(), "tookMs", time.Since(s.began).Milliseconds(), "leftMs", time.Until(s.job.deadline).Milliseconds(),
