--- a/internal/gate/pick/fleet_test.go
+++ b/internal/gate/pick/fleet_test.go
@@ -82,6 +82,8 @@
 	// starting are the requests whose first event is due.
 	starting []*simRun
 	number   int
+	// workspaces are the workspaces that send requests; none if empty.
+	workspaces []string
 	// rate returns the factor on the rate of a kind of prompt now, slowness that on the
 	// times of an engine.
 	rate     func(kind string) float64
@@ -268,6 +270,9 @@
 	r := &simRun{kind: k, host: f.pickers[f.random.IntN(len(f.pickers))], arrived: f.now, outputLeft: k.output, request: pick.Request{
 		Service: "lm", Idempotent: true, Prompt: prompt, Objective: k.objective,
 	}}
+	if len(f.workspaces) > 0 {
+		r.request.Workspace = f.workspaces[f.random.IntN(len(f.workspaces))]
+	}
 	f.choose(r)
 }
 
