--- a/internal/gate/plan/scope.go
+++ b/internal/gate/plan/scope.go
@@ -12,8 +12,9 @@
 // sharedScopeBytes is the length of the hash in the name of a shared scope.
 const sharedScopeBytes = 16
 
-// scopes name the parts of a cache that workspaces use. They depend on the configuration
-// alone, so that all hosts that have it agree without knowing the ones before.
+// scopes are the namespaces in which the prompts of workspaces are cached. They depend on
+// the configuration alone, so that all hosts that have it agree without knowing the ones
+// before.
 type scopes struct {
 	// listed are the names of all workspaces.
 	listed map[string]bool
