Log the engine that holds a prompt's parts beside the one that was chosen

A dispatch names the cheapest holder that was considered, with its tokens, the time expected there and whether it had too much work.

--- a/internal/gate/pick/choose.go
+++ b/internal/gate/pick/choose.go
@@ -268,6 +268,8 @@
 func (s *Picker) cheapest(now time.Time, targets []*target, r Request, partsByVersion map[uint64][]part, owners map[uint64]*target, holders map[uint64]*partHolders) candidate {
 	versions := s.models[r.Prompt.Model]
 	best := candidate{cost: math.Inf(1)}
+	var holder Holder
+	holderCost := math.Inf(1)
 	for _, t := range targets {
 		version := t.Versions[r.Prompt.Model]
 		o := s.evaluate(now, t, r, version, s.partsFor(partsByVersion, r, version), holders[version])
@@ -290,7 +292,11 @@
 		if s.better(o.cost, best.cost) {
 			best = o
 		}
+		if held := holders[version].maxTokens; held > 0 && o.dispatch.Cached >= held && o.cost < holderCost {
+			holder, holderCost = Holder{Target: t.ID, Tokens: held, Expected: o.dispatch.Expected, Overloaded: o.overloaded}, o.cost
+		}
 	}
+	best.dispatch.Holder = holder
 	return best
 }
 
--- a/internal/gate/pick/message.go
+++ b/internal/gate/pick/message.go
@@ -78,10 +78,26 @@
 	// BeginBy is when the request must have begun to run, since Version may not answer
 	// later; zero if there is no limit.
 	BeginBy time.Time
+	// Holder is the engine that was considered for the parts that it holds.
+	Holder Holder
 	// away is why the target is in another data centre; empty if it isn't.
 	away string
 }
 
+// Holder is the cheapest of the engines that hold the most of a prompt's shared parts, as
+// far as they were considered. It is empty if none of them holds any.
+type Holder struct {
+	// Target is the engine's ID.
+	Target string
+	// Tokens is the number of shared tokens that it holds.
+	Tokens int
+	// Expected is the estimated time to the first token there.
+	Expected time.Duration
+	// Overloaded is true if it could not take the request without making it or later ones
+	// late.
+	Overloaded bool
+}
+
 // Wait means that no target can take the request now, but that one may soon.
 type Wait struct {
 	// Reason is a short text for logs.
--- a/internal/gate/pick/pick_test.go
+++ b/internal/gate/pick/pick_test.go
@@ -110,6 +110,27 @@
 	}
 }
 
+// TestDispatchNamesTheHolder guards against choices that can't be explained: a prompt that
+// is computed again names the engine that holds its parts, and why it wasn't chosen.
+func TestDispatchNamesTheHolder(t *testing.T) {
+	s := newState(9)
+	assert.Empty(t, mustDispatch(t, s, start, longRequest("sheet")).Holder, "nobody holds a new part")
+	first := mustDispatch(t, s, start, longRequest("sheet"))
+	serve(s, start, longRequest("sheet"), first)
+	now := start.Add(time.Second)
+	again := mustDispatch(t, s, now, longRequest("sheet"))
+	assert.Equal(t, pick.Holder{Target: first.Target.ID, Tokens: 6300, Expected: again.Expected}, again.Holder)
+	for i := range 60 {
+		r := longRequest(fmt.Sprint("other-", i))
+		s.Start(now, r, pick.Dispatch{Target: first.Target, Version: 1, Scope: first.Scope})
+	}
+	away := mustDispatch(t, s, now, longRequest("sheet"))
+	assert.NotEqual(t, first.Target.ID, away.Target.ID)
+	assert.Equal(t, first.Target.ID, away.Holder.Target)
+	assert.True(t, away.Holder.Overloaded)
+	assert.Greater(t, away.Holder.Expected, away.Expected)
+}
+
 // Pattern: rendezvous hashing. Nodes that haven't received each other's reports
 // compute a new part on the same engine.
 func TestNodesAgreeOnANewPart(t *testing.T) {
--- a/internal/gate/proxy/log.go
+++ b/internal/gate/proxy/log.go
@@ -25,6 +25,7 @@
 	}
 	h.options.Logger.Info("sent", "request", s.job.call.ID, "route", s.job.route.Name, "workspace", s.job.workspace.Name,
 		"target", d.Target.ID, "weights", d.Version, "scope", d.Scope, "replacedMs", d.ReplacedFor.Milliseconds(), "shared", d.Shared, "cached", d.Cached, "fetched", d.Fetched, "from", d.FetchFrom,
+		"holder", d.Holder.Target, "held", d.Holder.Tokens, "holderExpectedMs", d.Holder.Expected.Milliseconds(), "holderOverloaded", d.Holder.Overloaded,
 		"running", d.Load.Running, "prefill", d.Load.Prefill, "ageMs", d.Age.Milliseconds(), "slowness", d.Slowness, "expectedMs", d.Expected.Milliseconds(),
 		"config", s.job.plan.Version, "sending", s.job.sent, "lastEvent", s.job.stream.last,
 		"firstMs", s.first.Milliseconds(), "pauseMs", s.pause.Milliseconds(), "tookMs", time.Since(s.began).Milliseconds(), "leftMs", time.Until(s.job.deadline).Milliseconds(),
