--- a/internal/gate/plan/scope_test.go
+++ b/internal/gate/plan/scope_test.go
@@ -50,20 +50,19 @@
 	return h
 }
 
-// maker is who computed a part: a workspace's request at a host with a version of the
-// configuration.
-type maker struct {
+// sender is a workspace that sends a request to a host with a version of the configuration.
+type sender struct {
 	workspace string
 	version   int
 }
 
 // scope returns the scope as an engine reads it from a header.
-func (h history) scope(m maker) string {
-	return strings.TrimSpace(h.plans[m.version].CacheScope(m.workspace))
+func (h history) scope(s sender) string {
+	return strings.TrimSpace(h.plans[s.version].CacheScope(s.workspace))
 }
 
 // mayShare reports whether one may use parts of the other in both configurations.
-func (h history) mayShare(a, b maker) bool {
+func (h history) mayShare(a, b sender) bool {
 	for _, version := range []int{a.version, b.version} {
 		if a.workspace != b.workspace && (h.isolated[version][a.workspace] || h.isolated[version][b.workspace]) {
 			return false
@@ -78,16 +77,16 @@
 func TestScopesKeepIsolatedWorkspacesApart(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		h := drawHistory(t)
-		made := map[string][]maker{}
+		sent := map[string][]sender{}
 		for n := range 60 {
-			by := maker{rapid.SampledFrom(scopeNames).Draw(t, fmt.Sprint("workspace", n)), rapid.IntRange(0, len(h.plans)-1).Draw(t, fmt.Sprint("version", n))}
+			by := sender{rapid.SampledFrom(scopeNames).Draw(t, fmt.Sprint("workspace", n)), rapid.IntRange(0, len(h.plans)-1).Draw(t, fmt.Sprint("version", n))}
 			scope := h.scope(by)
-			for _, m := range made[scope] {
-				if !h.mayShare(m, by) {
-					t.Fatalf("%+v uses a part of %+v in scope %q", by, m, scope)
+			for _, earlier := range sent[scope] {
+				if !h.mayShare(earlier, by) {
+					t.Fatalf("%+v uses a part of %+v in scope %q", by, earlier, scope)
 				}
 			}
-			made[scope] = append(made[scope], by)
+			sent[scope] = append(sent[scope], by)
 		}
 	})
 }
--- a/internal/gate/proxy/isolation_test.go
+++ b/internal/gate/proxy/isolation_test.go
@@ -42,31 +42,32 @@
 	return d.Plan()
 }
 
-// uses finds requests that use parts of prompts that other workspaces have made. All
-// requests have the same parts.
+// uses finds requests that use parts of prompts which were computed for another workspace.
+// All requests have the same parts.
 type uses struct {
 	mu sync.Mutex
 	// isolated are the isolated workspaces of the newest configuration.
 	isolated []string
-	// makers are the workspaces whose requests have run, by scope.
-	makers    map[string][]string
-	forbidden []string
+	// computedFor are the workspaces whose requests have run, by scope.
+	computedFor map[string][]string
+	violations  []string
 }
 
 func (u *uses) record(header http.Header) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	workspace, scope := header.Get("Workspace"), header.Get("Scope")
-	for _, maker := range u.makers[scope] {
-		if maker != workspace && (slices.Contains(u.isolated, maker) || slices.Contains(u.isolated, workspace)) {
-			u.forbidden = append(u.forbidden, fmt.Sprintf("%s uses a part of %s in scope %q while %v are isolated", workspace, maker, scope, u.isolated))
+	for _, other := range u.computedFor[scope] {
+		if other != workspace && (slices.Contains(u.isolated, other) || slices.Contains(u.isolated, workspace)) {
+			u.violations = append(u.violations, fmt.Sprintf("%s uses a part of %s in scope %q while %v are isolated", workspace, other, scope, u.isolated))
 		}
 	}
-	u.makers[scope] = append(u.makers[scope], workspace)
+	u.computedFor[scope] = append(u.computedFor[scope], workspace)
 }
 
-// walledHost is a host whose configuration changes. Its targets are those of all hosts.
-type walledHost struct {
+// isolatingHost is a host whose configuration changes. What its targets cache counts as
+// cached at those of all hosts.
+type isolatingHost struct {
 	*fixture
 	uses    *uses
 	plan    atomic.Pointer[plan.Plan]
@@ -75,11 +76,11 @@
 	replies chan reply
 }
 
-// newWalledHost starts a host with a configuration. The targets record in which scope
+// newIsolatingHost starts a host with a configuration. The targets record in which scope
 // they run which workspace's requests, and then serve them.
-func newWalledHost(t *testing.T, u *uses, p *plan.Plan, targets ...target) *walledHost {
+func newIsolatingHost(t *testing.T, u *uses, p *plan.Plan, targets ...target) *isolatingHost {
 	t.Helper()
-	h := &walledHost{uses: u, replies: make(chan reply, 16)}
+	h := &isolatingHost{uses: u, replies: make(chan reply, 16)}
 	var recording []target
 	for _, serve := range targets {
 		recording = append(recording, func(w http.ResponseWriter, r *http.Request, arrival int) {
@@ -96,7 +97,7 @@
 }
 
 // apply puts a configuration into force.
-func (h *walledHost) apply(p *plan.Plan) {
+func (h *isolatingHost) apply(p *plan.Plan) {
 	h.lock.Lock()
 	h.picker.SetPlan(p)
 	h.lock.Unlock()
@@ -105,35 +106,35 @@
 
 // isolate puts the next configuration into force, in which just the given workspaces are
 // isolated.
-func (h *walledHost) isolate(names ...string) {
+func (h *isolatingHost) isolate(names ...string) {
 	h.uses.mu.Lock()
 	h.uses.isolated = names
 	h.uses.mu.Unlock()
 	h.apply(isolatingPlan(h.plan.Load().Version+1, names, nil))
 }
 
-func (h *walledHost) setSlots(slots int) {
+func (h *isolatingHost) setSlots(slots int) {
 	h.lock.Lock()
 	defer h.lock.Unlock()
 	h.picker.SetTargets(map[string]roster.Target{"t0": {ID: "t0", Born: 1, Service: "app", Address: h.addresses["t0"], Slots: slots}})
 }
 
 // ask sends a request of a workspace and checks that it is answered.
-func (h *walledHost) ask(t *testing.T, workspace string) {
+func (h *isolatingHost) ask(t *testing.T, workspace string) {
 	t.Helper()
 	h.askAside(t, workspace, "/stream/x")
 	h.await(t, 1)
 }
 
 // askAside sends a request in the background.
-func (h *walledHost) askAside(t *testing.T, workspace, path string) {
+func (h *isolatingHost) askAside(t *testing.T, workspace, path string) {
 	t.Helper()
 	go func(context.Context) {
 		h.replies <- h.sendBody(t, path, "body", "Model", "m", "Parts", "common,own", "Key", workspace)
 	}(t.Context())
 }
 
-func (h *walledHost) await(t *testing.T, answers int) {
+func (h *isolatingHost) await(t *testing.T, answers int) {
 	t.Helper()
 	for range answers {
 		got := <-h.replies
@@ -142,18 +143,18 @@
 	}
 }
 
-// TestIsolatedWorkspacesShareNoParts guards against workspaces that use parts of prompts
-// which others have made, after one of them was isolated.
+// TestIsolatedWorkspacesShareNoParts guards against requests that use parts of prompts which
+// were computed for another workspace, after one of the two was isolated.
 func TestIsolatedWorkspacesShareNoParts(t *testing.T) {
-	tests := map[string]func(t *testing.T, u *uses, host func(version uint64, isolated ...string) *walledHost){
-		"isolated after it has shared": func(t *testing.T, _ *uses, host func(uint64, ...string) *walledHost) {
+	tests := map[string]func(t *testing.T, u *uses, host func(version uint64, isolated ...string) *isolatingHost){
+		"isolated after it has shared": func(t *testing.T, _ *uses, host func(uint64, ...string) *isolatingHost) {
 			h := host(1)
 			h.ask(t, "members")
 			h.isolate("members")
 			h.ask(t, "sellers")
 			h.ask(t, "members")
 		},
-		"isolation ends and begins again": func(t *testing.T, _ *uses, host func(uint64, ...string) *walledHost) {
+		"isolation ends and begins again": func(t *testing.T, _ *uses, host func(uint64, ...string) *isolatingHost) {
 			h := host(1)
 			for range 3 {
 				h.isolate()
@@ -164,7 +165,7 @@
 				h.ask(t, "sellers")
 			}
 		},
-		"one after the other": func(t *testing.T, _ *uses, host func(uint64, ...string) *walledHost) {
+		"one after the other": func(t *testing.T, _ *uses, host func(uint64, ...string) *isolatingHost) {
 			h := host(1)
 			for _, isolated := range [][]string{nil, {"members"}, {"sellers"}, {"members", "sellers"}, {"staff", "members"}, {"sellers"}, nil, {"staff"}} {
 				h.isolate(isolated...)
@@ -173,7 +174,7 @@
 				}
 			}
 		},
-		"a host that missed a version": func(t *testing.T, _ *uses, host func(uint64, ...string) *walledHost) {
+		"a host that missed a version": func(t *testing.T, _ *uses, host func(uint64, ...string) *isolatingHost) {
 			late, other := host(1), host(1)
 			late.ask(t, "members")
 			other.isolate("members")
@@ -185,12 +186,12 @@
 			late.ask(t, "sellers")
 			other.ask(t, "sellers")
 		},
-		"a host that starts after the change": func(t *testing.T, u *uses, host func(uint64, ...string) *walledHost) {
+		"a host that starts after the change": func(t *testing.T, u *uses, host func(uint64, ...string) *isolatingHost) {
 			host(1).ask(t, "members")
 			u.isolated = []string{"members"}
 			host(7, "members").ask(t, "sellers")
 		},
-		"an isolated workspace loses its last key": func(t *testing.T, _ *uses, host func(uint64, ...string) *walledHost) {
+		"an isolated workspace loses its last key": func(t *testing.T, _ *uses, host func(uint64, ...string) *isolatingHost) {
 			h := host(1)
 			h.ask(t, "members")
 			h.isolate("members")
@@ -200,23 +201,23 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			u := &uses{makers: map[string][]string{}}
-			test(t, u, func(version uint64, isolated ...string) *walledHost {
-				return newWalledHost(t, u, isolatingPlan(version, isolated, nil), events(1, 0))
+			u := &uses{computedFor: map[string][]string{}}
+			test(t, u, func(version uint64, isolated ...string) *isolatingHost {
+				return newIsolatingHost(t, u, isolatingPlan(version, isolated, nil), events(1, 0))
 			})
-			assert.Empty(t, u.forbidden)
+			assert.Empty(t, u.violations)
 		})
 	}
 }
 
 // newBusyHost starts a host whose target runs requests of a workspace until the returned
 // function is called.
-func newBusyHost(t *testing.T, u *uses, slots, busy int, workspace string) (h *walledHost, free func()) {
+func newBusyHost(t *testing.T, u *uses, slots, busy int, workspace string) (h *isolatingHost, free func()) {
 	t.Helper()
 	release := make(chan struct{})
 	free = sync.OnceFunc(func() { close(release) })
 	t.Cleanup(free)
-	h = newWalledHost(t, u, isolatingPlan(1, nil, nil), func(w http.ResponseWriter, r *http.Request, arrival int) {
+	h = newIsolatingHost(t, u, isolatingPlan(1, nil, nil), func(w http.ResponseWriter, r *http.Request, arrival int) {
 		<-release
 		events(1, 0)(w, r, arrival)
 	})
@@ -233,8 +234,8 @@
 func TestWaitingRequestsFollowIsolation(t *testing.T) {
 	tests := map[string]struct {
 		// slots is the number of requests that the target takes, busy how many run there.
-		slots, busy    int
-		maker, waiting string
+		slots, busy      int
+		running, waiting string
 	}{
 		"others wait for a target":                      {1, 1, "members", "sellers"},
 		"others wait for a connection":                  {8, 2, "members", "sellers"},
@@ -244,8 +245,8 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			u := &uses{makers: map[string][]string{}}
-			h, free := newBusyHost(t, u, test.slots, test.busy, test.maker)
+			u := &uses{computedFor: map[string][]string{}}
+			h, free := newBusyHost(t, u, test.slots, test.busy, test.running)
 			h.askAside(t, test.waiting, "/stream/x")
 			require.Eventually(t, func() bool { return h.handler.Active() == test.busy+1 }, longTimeout, time.Millisecond)
 			time.Sleep(100 * time.Millisecond)
@@ -254,7 +255,7 @@
 			free()
 			h.await(t, test.busy+1)
 			assert.Equal(t, test.busy+1, int(h.arrivals.Load()))
-			assert.Empty(t, u.forbidden)
+			assert.Empty(t, u.violations)
 		})
 	}
 }
@@ -264,8 +265,8 @@
 func TestRepeatedRequestsFollowIsolation(t *testing.T) {
 	for _, repeated := range []string{"sellers", "members"} {
 		t.Run(repeated, func(t *testing.T) {
-			u := &uses{makers: map[string][]string{}}
-			var h *walledHost
+			u := &uses{computedFor: map[string][]string{}}
+			var h *isolatingHost
 			breakOff := func(w http.ResponseWriter, r *http.Request, arrival int) {
 				h.isolate("members")
 				events(4, 3)(w, r, arrival)
@@ -277,14 +278,14 @@
 				}
 				events(4, 0)(w, r, arrival)
 			}
-			h = newWalledHost(t, u, isolatingPlan(1, nil, nil), serve, serve)
+			h = newIsolatingHost(t, u, isolatingPlan(1, nil, nil), serve, serve)
 			for _, name := range workspaces {
 				h.ask(t, name)
 			}
 			h.askAside(t, repeated, "/resume/x")
 			h.await(t, 1)
 			assert.Equal(t, len(workspaces)+2, int(h.arrivals.Load()))
-			assert.Empty(t, u.forbidden)
+			assert.Empty(t, u.violations)
 		})
 	}
 }
@@ -308,8 +309,8 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			p := isolatingPlan(1, []string{"staff"}, nil)
-			u := &uses{isolated: []string{"staff"}, makers: map[string][]string{"w0" + p.CacheScope("members"): {"members", "sellers"}}}
-			h := newWalledHost(t, u, p, test.target, test.target)
+			u := &uses{isolated: []string{"staff"}, computedFor: map[string][]string{"w0" + p.CacheScope("members"): {"members", "sellers"}}}
+			h := newIsolatingHost(t, u, p, test.target, test.target)
 			h.maintain(t)
 			began := time.Now()
 			h.askAside(t, test.workspace, test.path)
@@ -319,7 +320,7 @@
 			require.NoError(t, got.err)
 			assert.Equal(t, test.status, got.status)
 			assert.Equal(t, test.arrivals, int(h.arrivals.Load()))
-			assert.Empty(t, u.forbidden)
+			assert.Empty(t, u.violations)
 			assert.Greater(t, time.Since(began), time.Second, "the engine has a while to begin")
 			assert.Less(t, time.Since(began), 4*time.Second)
 		})
--- a/internal/tool/soak/isolate_test.go
+++ b/internal/tool/soak/isolate_test.go
@@ -98,27 +98,27 @@
 	for _, r := range c.records {
 		requests[r.id] = r
 	}
-	// makers are the workspaces that have run streams with a scope. All streams begin with
-	// the same part.
-	makers := map[string]map[string]bool{}
+	// computedFor are the workspaces that have run streams with a scope. All streams begin
+	// with the same part.
+	computedFor := map[string]map[string]bool{}
 	shared, isolated := 0, 0
 	for _, run := range c.streamRuns() {
-		for maker := range makers[run.Scope] {
-			if maker == run.Workspace {
+		for other := range computedFor[run.Scope] {
+			if other == run.Workspace {
 				continue
 			}
 			shared++
-			if problem := c.forbidden(changes, requests[run.ID], run, maker); problem != "" {
+			if problem := c.sharingProblem(changes, requests[run.ID], run, other); problem != "" {
 				found = append(found, problem)
 			}
 		}
 		if _, ok := isolatedSince(changes, run.Workspace, run.At); ok {
 			isolated++
 		}
-		if makers[run.Scope] == nil {
-			makers[run.Scope] = map[string]bool{}
+		if computedFor[run.Scope] == nil {
+			computedFor[run.Scope] = map[string]bool{}
 		}
-		makers[run.Scope][run.Workspace] = true
+		computedFor[run.Scope][run.Workspace] = true
 	}
 	if isolated == 0 {
 		found = append(found, "no workspace ran a stream while it was isolated")
@@ -127,14 +127,14 @@
 	return found
 }
 
-// forbidden describes the use of a part if the isolation of the user or the maker rules it
-// out and the host knows that; empty if it doesn't.
-func (c *checker) forbidden(changes []configChange, r record, run fake.Run, maker string) string {
-	for _, workspace := range []string{run.Workspace, maker} {
+// sharingProblem describes the use of a part that was computed for another workspace, if one
+// of the two is isolated and the host must know that; else it is empty.
+func (c *checker) sharingProblem(changes []configChange, r record, run fake.Run, other string) string {
+	for _, workspace := range []string{run.Workspace, other} {
 		since, isolated := isolatedSince(changes, workspace, run.At)
 		known := run.At.Add(-fake.ApplyTime)
 		if isolated && since.Before(known) && c.undisturbed(r.host, known, run.At) {
-			return fmt.Sprintf("%s of %s, sent by %s, used a part of %s in scope %q, %v after %s was isolated", run.ID, run.Workspace, r.host, maker, run.Scope, run.At.Sub(since), workspace)
+			return fmt.Sprintf("%s of %s, sent by %s, used a part of %s in scope %q, %v after %s was isolated", run.ID, run.Workspace, r.host, other, run.Scope, run.At.Sub(since), workspace)
 		}
 	}
 	return ""
