--- a/internal/gate/plan/scope.go
+++ b/internal/gate/plan/scope.go
@@ -45,10 +45,11 @@
 // since no two sets of scopes may join to the same text.
 func ownScope(workspace string) string { return "/" + url.PathEscape(workspace) }
 
-// CacheScope returns the scope in which engines cache the prompts of a workspace; an empty
-// name stands for requests without one. An isolated workspace has its own, as has one that
-// the configuration doesn't list: it was removed while its requests were in progress. All
-// others have the same one, which changes with the set of isolated workspaces.
+// CacheScope returns the scope in which engines cache the prompts of a workspace. An empty
+// name means that a request has no workspace. Each isolated workspace has a scope of its own.
+// So does a workspace that the configuration doesn't list, since it may have been removed
+// while its requests were in progress. All others share a scope, which changes with the set
+// of isolated workspaces.
 func (p *Plan) CacheScope(workspace string) string {
 	if own, ok := p.scopes.own[workspace]; ok {
 		return own
