--- a/review/_stand3/turns.go
+++ b/review/_stand3/turns.go
@@ -12,7 +12,7 @@
 	// rollGap is the time between two stops of a rolling restart.
 	rollGap = time.Second
 	// stops is the number of hosts that are stopped.
-	stops = 6
+	stops = 4
 	// watchTime is how long orders are watched after the restart began.
 	watchTime = 12 * time.Second
 )
@@ -46,7 +46,7 @@
 // the orders that an engine gets from one host within the lease's time after one from
 // another host. Several of these in succession are numbered.
 func turns(ctx context.Context, o options, r *record) (int, error) {
-	o.hosts = 6
+	o.hosts = 4
 	l := &ledger{r: r}
 	d, err := newDeployment(o, l, 2, 1)
 	if err != nil {
